Serve calls end to end through an entry instance

A request is answered by an endpoint stand-in that a document on the platform stand-in names, with all three as separate processes.

--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,1 @@
+export * from './cluster.js';
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,2 @@
+export * from './document.js';
+export * from './force.js';
--- /dev/null
+++ b/packages/entry/src/gates.ts
@@ -0,0 +1,71 @@
+import type { Refusal } from '@dotterelpass/proxy';
+import type { Incarnation, InstanceId, RequestId, ServiceId, TenantId } from '@dotterelpass/values';
+
+/** The entry instances as this one sees them. */
+export interface Members {
+  readonly self: InstanceId;
+  /** Live entry instances, this one included, sorted by name. */
+  readonly live: readonly InstanceId[];
+  /**
+   * Finds the present incarnation of a live instance.
+   *
+   * @returns Undefined when the instance is not live or has not been heard yet.
+   */
+  findIncarnation(instance: InstanceId): Incarnation | undefined;
+  /** Registers a function that is called after `live` or an incarnation has changed. */
+  watch(listener: () => void): void;
+}
+
+/** An answer of an endpoint that is kept for a re-send. */
+export interface StoredAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[]>>;
+  readonly body: Buffer;
+}
+
+/** A call of class `once` that asks for leave to run. */
+export interface OnceCall {
+  readonly requestId: RequestId;
+  readonly service: ServiceId;
+  readonly tenant: TenantId;
+  /** Value of the `Idempotency-Key` header. */
+  readonly key: string;
+  /** SHA-256 of method, path, query and body, in hexadecimal. */
+  readonly bodyDigest: string;
+  /** Monotonic time at which the answer is worthless, in milliseconds. */
+  readonly deadlineAt: number;
+  readonly signal: AbortSignal;
+}
+
+/** How the run of a `once` call ended. */
+export type OnceOutcome =
+  | { readonly verdict: 'not-run' }
+  | { readonly verdict: 'may-have-run' }
+  /** `answer` is absent when it was too large to keep. */
+  | { readonly verdict: 'ran'; readonly answer?: StoredAnswer };
+
+/** What a `once` call may do. After `run`, `settle` is called exactly once. */
+export type OnceLeave =
+  | { readonly kind: 'run'; settle(outcome: OnceOutcome): void }
+  | { readonly kind: 'replay'; readonly answer: StoredAnswer }
+  | { readonly kind: 'refuse'; readonly refusal: Refusal };
+
+/** Lets each key run at most once in the fleet. */
+export interface OnceGate {
+  admit(call: OnceCall): Promise<OnceLeave>;
+  /** Mints a one-time ticket that serves as a key. */
+  mintTicket(): string;
+}
+
+/** What a request may do that may have crashed an endpoint before. `finish` is called once. */
+export type SuspectLeave =
+  | { readonly kind: 'run'; readonly alone: boolean; finish(crashed: boolean): void }
+  | { readonly kind: 'refuse'; readonly refusal: Refusal };
+
+/** Keeps requests that crash endpoints from doing so again and again. */
+export interface SuspectGate {
+  /** @param fingerprint - SHA-256 of method, path, query and body, in hexadecimal. */
+  admit(fingerprint: string, deadlineAt: number, signal: AbortSignal): Promise<SuspectLeave>;
+  /** Tells that an endpoint crashed while it ran the requests with these fingerprints. */
+  reportCrash(address: string, fingerprints: readonly string[]): void;
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,132 @@
+#!/usr/bin/env node
+import { PlatformClient } from '@dotterelpass/platform';
+import { PeerHub, minPeerKeyLength } from '@dotterelpass/peers';
+import { CallerServer } from '@dotterelpass/proxy';
+import { requireSettings, settingSchemas } from '@dotterelpass/settings';
+import { Metrics, openLog, setLogLevel } from '@dotterelpass/telemetry';
+import { namePattern, toName } from '@dotterelpass/values';
+import type { InstanceId } from '@dotterelpass/values';
+import { z } from 'zod';
+import { Balancer } from './balancer.js';
+import { CallPath } from './calls.js';
+import { ConfigFeed } from './config.js';
+import { OperatorServer } from './operator.js';
+import { ConfiguredMembers, makeIncarnation } from './peers.js';
+
+const nameSchema = z
+  .string()
+  .regex(namePattern, 'must be lower-case letters, digits and inner hyphens');
+
+const settings = await requireSettings(
+  {
+    name: 'dotterelpass-entry',
+    version: '0.1.0',
+    describe: 'One entry instance: takes calls from callers to endpoints.',
+  },
+  {
+    instance: { describe: 'Name of this instance', schema: nameSchema },
+    failureDomain: { describe: 'Failure domain of this instance', schema: nameSchema },
+    ip: { describe: 'IP address for callers', schema: settingSchemas.ip.default('127.0.0.1') },
+    callerPort: { describe: 'Port for callers', schema: settingSchemas.port.default(8080) },
+    operatorIp: {
+      describe: 'IP address for operators',
+      schema: settingSchemas.ip.default('127.0.0.1'),
+    },
+    operatorPort: { describe: 'Port for operators', schema: settingSchemas.port.default(9090) },
+    peerIp: { describe: 'IP address for peers', schema: settingSchemas.ip.default('127.0.0.1') },
+    peerPort: { describe: 'Port for peers', schema: settingSchemas.port.default(7070) },
+    peerKey: {
+      describe: 'Key that all entry instances share',
+      schema: z.string().min(minPeerKeyLength, `must have ${minPeerKeyLength} characters or more`),
+      secret: true,
+    },
+    peers: {
+      describe: 'Other entry instances to begin with, like entry-2=127.0.0.1:7072,entry-3=...',
+      schema: z
+        .string()
+        .default('')
+        .transform((text) => text.split(',').filter(Boolean))
+        .pipe(
+          z.array(
+            z.string().regex(/^[a-z0-9-]+=[\d.]+:\d+$/, 'must be like entry-2=127.0.0.1:7072'),
+          ),
+        ),
+    },
+    platform: {
+      describe: 'IP address and port of the platform',
+      schema: settingSchemas.address,
+    },
+    logLevel: {
+      describe: 'Least severe log level that is written: debug, info, warn or error',
+      schema: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    },
+    stopWaitMs: {
+      describe: 'Time between going unready and refusing connections, in milliseconds',
+      schema: settingSchemas.milliseconds.default(1000),
+    },
+    stopMaxMs: {
+      describe: 'Longest time that a stop waits for calls in flight, in milliseconds',
+      schema: settingSchemas.milliseconds.default(30_000),
+    },
+  },
+);
+
+/** Time between checks of the configured peers, in milliseconds. */
+const refreshMs = 500;
+
+setLogLevel(settings.logLevel);
+const log = openLog('entry', { instance: settings.instance });
+const metrics = new Metrics({ instance: settings.instance });
+const instance = toName<InstanceId>(settings.instance);
+const incarnation = makeIncarnation();
+const hub = new PeerHub({ instance, incarnation }, settings.peerKey, log);
+const members = new ConfiguredMembers(instance, incarnation, hub);
+const platform = new PlatformClient(settings.platform);
+const config = new ConfigFeed(platform, log, metrics);
+const balancer = new Balancer();
+const calls = new CallPath(config, balancer, log, metrics);
+const callers = new CallerServer((request, response) => calls.serve(request, response));
+let stopping = false;
+const operators = new OperatorServer(metrics, () => config.ready && !stopping);
+
+metrics.addGauge('calls_in_flight', 'Calls that have not been answered yet.', () => callers.active);
+
+void config.run();
+const peerPort = await hub.open(settings.peerIp, settings.peerPort);
+for (const peer of settings.peers) {
+  const [name = '', address = ''] = peer.split('=');
+  hub.setAddress(toName<InstanceId>(name), address);
+}
+setInterval(() => {
+  void members.refresh();
+}, refreshMs).unref();
+const operatorPort = await operators.open(settings.operatorIp, settings.operatorPort);
+const callerPort = await callers.open(settings.ip, settings.callerPort);
+log.info('started', {
+  callerPort,
+  operatorPort,
+  peerPort,
+  incarnation,
+  failureDomain: settings.failureDomain,
+});
+
+process.once('SIGTERM', () => {
+  void stop();
+});
+
+async function stop(): Promise<void> {
+  stopping = true;
+  log.info('stopping', { active: callers.active });
+  // The platform's balancer needs this time to see that the instance is not ready.
+  await new Promise((resolve) => {
+    setTimeout(resolve, settings.stopWaitMs);
+  });
+  await callers.close(settings.stopMaxMs);
+  config.stop();
+  hub.close();
+  balancer.close();
+  platform.close();
+  operators.close();
+  log.info('stopped');
+  process.exit(0);
+}
--- /dev/null
+++ b/packages/entry/src/operator.ts
@@ -0,0 +1,59 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Metrics } from '@dotterelpass/telemetry';
+
+/** The HTTP server for operators: metrics and health. */
+export class OperatorServer {
+  readonly #server: Server;
+
+  readonly #metrics: Metrics;
+
+  readonly #isReady: () => boolean;
+
+  /**
+   * @param metrics - What `/metrics` shows.
+   * @param isReady - What `/readyz` says.
+   */
+  constructor(metrics: Metrics, isReady: () => boolean) {
+    this.#metrics = metrics;
+    this.#isReady = isReady;
+    this.#server = createServer((request, response) => {
+      this.#serve(request, response).catch(() => response.destroy());
+    });
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @returns The port.
+   */
+  async open(ip: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, ip, resolve);
+    });
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Stops and cuts open connections. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = (request.url ?? '/').split('?', 1)[0];
+    if (path === '/metrics') {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+      response.end(await this.#metrics.readText());
+    } else if (path === '/healthz') {
+      response.writeHead(200).end('ok\n');
+    } else if (path === '/readyz') {
+      const ready = this.#isReady();
+      response.writeHead(ready ? 200 : 503).end(ready ? 'ready\n' : 'not ready\n');
+    } else {
+      response.writeHead(404).end('unknown path\n');
+    }
+  }
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,3 @@
+export * from './hub.js';
+export * from './link.js';
+export * from './message.js';
--- /dev/null
+++ b/packages/platform/src/client.ts
@@ -0,0 +1,297 @@
+import { Agent, request } from 'node:http';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+/** A failed platform call. `applied` says whether a write may have taken effect. */
+export interface PlatformError {
+  readonly kind: 'unreachable' | 'timeout' | 'rate-limited' | 'refused' | 'bad-answer';
+  readonly message: string;
+  readonly applied: 'no' | 'unknown';
+}
+
+/** One stored value. */
+export interface Entry {
+  readonly key: string;
+  readonly value: Buffer;
+  /** Index of the last change of this key, for compare-and-swap. */
+  readonly modifyIndex: number;
+  readonly session?: string;
+}
+
+/** The answer to a read: the entries and the index to wait from. */
+export interface Reading {
+  readonly entries: readonly Entry[];
+  readonly index: number;
+}
+
+/** An instance in the platform's list, which lags behind reality. */
+export interface ListedInstance {
+  readonly id: string;
+  readonly address: string;
+  readonly port: number;
+  readonly leaving: boolean;
+  readonly meta: Readonly<Record<string, string>>;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly index: number;
+  readonly body: Buffer;
+}
+
+interface StoredJson {
+  Key: string;
+  Value: string | null;
+  ModifyIndex: number;
+  Session?: string;
+}
+
+interface HealthJson {
+  Service: { ID: string; Address: string; Port: number; Meta?: Record<string, string> };
+  Checks: { Status: string }[];
+}
+
+const defaultTimeoutMs = 2000;
+
+/** A waiting watch is abandoned this long after the platform should have answered it. */
+const watchGraceMs = 2000;
+
+/** Client of the platform's key-value service and instance list (Consul HTTP API). */
+export class PlatformClient {
+  readonly #host: string;
+
+  readonly #port: number;
+
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 64, scheduling: 'lifo' });
+
+  #calls = 0;
+
+  /**
+   * @param address - IP address and port of the platform.
+   */
+  constructor(address: string) {
+    const [host = '', port = ''] = address.split(':');
+    if (!host || !port) throw new RangeError(`platform address ${JSON.stringify(address)} is bad`);
+    this.#host = host;
+    this.#port = Number(port);
+  }
+
+  /** Calls made so far; a waiting watch counts as one. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  /**
+   * Reads one key or all keys below a prefix.
+   *
+   * @param key - The key or prefix.
+   * @param options - `recurse` reads a prefix; `waitIndex` and `waitMs` wait for a change
+   * after that index.
+   * @returns The entries, none when nothing is stored.
+   */
+  async read(
+    key: string,
+    options: { recurse?: boolean; waitIndex?: number; waitMs?: number } = {},
+  ): Promise<Result<Reading, PlatformError>> {
+    const query = new URLSearchParams();
+    if (options.recurse) query.set('recurse', 'true');
+    const waiting = options.waitIndex !== undefined;
+    if (waiting) {
+      query.set('index', String(options.waitIndex));
+      query.set('wait', `${options.waitMs ?? 10_000}ms`);
+    }
+    const timeout = waiting ? (options.waitMs ?? 10_000) + watchGraceMs : defaultTimeoutMs;
+    const answer = await this.#call('GET', `/v1/kv/${key}?${query.toString()}`, undefined, timeout);
+    if (answer.isErr()) return err({ ...answer.error, applied: 'no' });
+    const { status, index, body } = answer.value;
+    if (status === 404) return ok({ entries: [], index });
+    if (status !== 200) return err(toStatusError(status, body));
+    return readJson<StoredJson[]>(body).map((list) => ({
+      index,
+      entries: list.map((item) => ({
+        key: item.Key,
+        value: Buffer.from(item.Value ?? '', 'base64'),
+        modifyIndex: item.ModifyIndex,
+        ...(item.Session === undefined ? {} : { session: item.Session }),
+      })),
+    }));
+  }
+
+  /**
+   * Writes one key if it has not changed.
+   *
+   * @param key - The key.
+   * @param value - The new value, at most 1 MB.
+   * @param modifyIndex - The index that was read; 0 when the key must not exist.
+   * @returns Whether the value was written. After an error with `applied: 'unknown'` the write
+   * may still take effect, as long as the key has not changed.
+   */
+  async compareAndSwap(
+    key: string,
+    value: Buffer,
+    modifyIndex: number,
+  ): Promise<Result<boolean, PlatformError>> {
+    return this.#write('PUT', `/v1/kv/${key}?cas=${modifyIndex}`, value);
+  }
+
+  /**
+   * Opens a session, the owner of leases.
+   *
+   * @param ttlMs - The session ends this long after its last renewal.
+   * @returns The session's id.
+   */
+  async openSession(ttlMs: number): Promise<Result<string, PlatformError>> {
+    const body = Buffer.from(JSON.stringify({ TTL: `${ttlMs}ms`, Behavior: 'release' }));
+    const answer = await this.#call('PUT', '/v1/session/create', body, defaultTimeoutMs);
+    if (answer.isErr()) return err(answer.error);
+    if (answer.value.status !== 200) {
+      return err(toStatusError(answer.value.status, answer.value.body));
+    }
+    return readJson<{ ID: string }>(answer.value.body).map(({ ID }) => ID);
+  }
+
+  /**
+   * Renews a session.
+   *
+   * @param session - The session's id.
+   * @returns False when the session has ended.
+   */
+  async renewSession(session: string): Promise<Result<boolean, PlatformError>> {
+    const path = `/v1/session/renew/${session}`;
+    const answer = await this.#call('PUT', path, undefined, defaultTimeoutMs);
+    if (answer.isErr()) return err(answer.error);
+    const { status, body } = answer.value;
+    if (status === 200) return ok(true);
+    return status === 404 ? ok(false) : err(toStatusError(status, body));
+  }
+
+  /**
+   * Takes a lease.
+   *
+   * @param key - The key that stands for the lease.
+   * @param session - The session that is to hold it.
+   * @param value - Value to store with it.
+   * @returns Whether the session holds the lease now.
+   */
+  async acquireLease(
+    key: string,
+    session: string,
+    value: Buffer,
+  ): Promise<Result<boolean, PlatformError>> {
+    return this.#write('PUT', `/v1/kv/${key}?acquire=${session}`, value);
+  }
+
+  /**
+   * Gives a lease back.
+   *
+   * @param key - The key that stands for the lease.
+   * @param session - The session that holds it.
+   * @returns Whether it was held.
+   */
+  async releaseLease(key: string, session: string): Promise<Result<boolean, PlatformError>> {
+    return this.#write('PUT', `/v1/kv/${key}?release=${session}`, Buffer.alloc(0));
+  }
+
+  /**
+   * Reads the platform's list of instances of one kind.
+   *
+   * @param kind - The registered name, such as `dotterelpass-entry`.
+   * @returns The listed instances; the list lags behind reality.
+   */
+  async readInstances(kind: string): Promise<Result<readonly ListedInstance[], PlatformError>> {
+    const path = `/v1/health/service/${kind}`;
+    const answer = await this.#call('GET', path, undefined, defaultTimeoutMs);
+    if (answer.isErr()) return err({ ...answer.error, applied: 'no' });
+    if (answer.value.status !== 200) {
+      return err(toStatusError(answer.value.status, answer.value.body));
+    }
+    return readJson<HealthJson[]>(answer.value.body).map((list) =>
+      list.map(({ Service, Checks }) => ({
+        id: Service.ID,
+        address: Service.Address,
+        port: Service.Port,
+        leaving: Checks.some(({ Status }) => Status === 'critical'),
+        meta: Service.Meta ?? {},
+      })),
+    );
+  }
+
+  /** Closes idle connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  async #write(
+    method: string,
+    path: string,
+    value: Buffer,
+  ): Promise<Result<boolean, PlatformError>> {
+    const answer = await this.#call(method, path, value, defaultTimeoutMs);
+    if (answer.isErr()) return err(answer.error);
+    const { status, body } = answer.value;
+    return status === 200
+      ? ok(body.toString().trim() === 'true')
+      : err(toStatusError(status, body));
+  }
+
+  async #call(
+    method: string,
+    path: string,
+    body: Buffer | undefined,
+    timeoutMs: number,
+  ): Promise<Result<Answer, PlatformError>> {
+    this.#calls += 1;
+    return new Promise((resolve) => {
+      const outgoing = request({
+        agent: this.#agent,
+        host: this.#host,
+        port: this.#port,
+        method,
+        path,
+        headers: body ? { 'content-length': body.length } : {},
+      });
+      const timer = setTimeout(() => {
+        // The connection may be silent for good; a new one may work.
+        outgoing.destroy();
+        resolve(
+          err({ kind: 'timeout', message: `no answer in ${timeoutMs} ms`, applied: 'unknown' }),
+        );
+      }, timeoutMs);
+      outgoing.on('error', (error: NodeJS.ErrnoException) => {
+        clearTimeout(timer);
+        const applied = error.code === 'ECONNREFUSED' ? 'no' : 'unknown';
+        resolve(err({ kind: 'unreachable', message: error.message, applied }));
+      });
+      outgoing.on('response', (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          clearTimeout(timer);
+          if (!response.complete) {
+            const message = 'the answer was cut short';
+            resolve(err({ kind: 'unreachable', message, applied: 'unknown' }));
+            return;
+          }
+          const index = Number(response.headers['x-consul-index'] ?? 0);
+          resolve(ok({ status: response.statusCode ?? 0, index, body: Buffer.concat(chunks) }));
+        });
+      });
+      outgoing.end(body);
+    });
+  }
+}
+
+function toStatusError(status: number, body: Buffer): PlatformError {
+  const message = `status ${status}: ${body.toString().slice(0, 200)}`;
+  if (status === 429) return { kind: 'rate-limited', message, applied: 'no' };
+  return { kind: 'refused', message, applied: status >= 500 ? 'unknown' : 'no' };
+}
+
+function readJson<T>(body: Buffer): Result<T, PlatformError> {
+  try {
+    return ok(JSON.parse(body.toString()) as T);
+  } catch {
+    return err({ kind: 'bad-answer', message: 'the answer is not JSON', applied: 'unknown' });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,1 @@
+export * from './client.js';
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,3 @@
+export * from './caller.js';
+export * from './headers.js';
+export * from './pool.js';
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,1 @@
+export * from './settings.js';
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,2 @@
+export * from './server.js';
+export * from './store.js';
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+export * from './log.js';
+export * from './metrics.js';
--- /dev/null
+++ b/packages/values/src/ids.ts
@@ -0,0 +1,33 @@
+declare const brand: unique symbol;
+
+/** A string that belongs to one kind of identifier and cannot be mixed with another. */
+export type Branded<Kind extends string> = string & { readonly [brand]: Kind };
+
+export type ServiceId = Branded<'service'>;
+export type EndpointId = Branded<'endpoint'>;
+export type InstanceId = Branded<'instance'>;
+export type Incarnation = Branded<'incarnation'>;
+export type TenantId = Branded<'tenant'>;
+export type RequestId = Branded<'request'>;
+export type CommandId = Branded<'command'>;
+export type FailureDomain = Branded<'failure-domain'>;
+export type ClassName = Branded<'class'>;
+
+/** Legal form of names that operators choose: they appear in keys, labels and commands. */
+export const namePattern = /^[a-z0-9](?:[a-z0-9-]{0,62}[a-z0-9])?$/;
+
+/**
+ * Brands a name after checking its form.
+ *
+ * @param text - Lower-case letters, digits and inner hyphens, 1 to 64 characters.
+ * @returns The branded name.
+ * @throws RangeError when the form is wrong.
+ */
+export function toName<Id extends Branded<string>>(text: string): Id {
+  if (!namePattern.test(text)) {
+    throw new RangeError(
+      `name ${JSON.stringify(text)} is not 1 to 64 lower-case letters, digits and inner hyphens`,
+    );
+  }
+  return text as Id;
+}
--- /dev/null
+++ b/packages/values/src/index.ts
@@ -0,0 +1,6 @@
+export * from './ids.js';
+export * from './verdict.js';
+export * from './clock.js';
+export * from './random.js';
+export * from './hash.js';
+export * from './service.js';
