Decide on retries and hedges in packages/retries

RetryPolicy judges one failure, RetryBudget bounds retries and hedges by a tenth of the calls of the last 10 s, Hedger finds the 95th percentile of a class and bounds hedges to 5% of its calls. The budget has no allowance beyond the share, so amplification cannot exceed 1.1; a class that has made fewer than 10 calls in 10 s is not retried.

--- /dev/null
+++ b/packages/retries/src/budget.ts
@@ -0,0 +1,65 @@
+import type { Clock } from '@dotterelpass/values';
+import { SharedWindow } from './window.js';
+
+export interface BudgetLimits {
+  /** Largest share of extra attempts in recent calls, 0 to 1. */
+  readonly share: number;
+  /** What counts as recent, in milliseconds. */
+  readonly windowMs: number;
+}
+
+/** Retries and hedges together stay at or below a tenth of the calls. */
+export const retryLimits: BudgetLimits = { share: 0.1, windowMs: 10_000 };
+
+/** Hedges stay at or below a twentieth of the calls of their class. */
+export const hedgeLimits: BudgetLimits = { share: 0.05, windowMs: 10_000 };
+
+/**
+ * Bounds extra attempts by a share of recent calls, for several groups of calls at once. There
+ * is no allowance beyond the share: after a quiet time the first calls are not retried.
+ */
+export class RetryBudget {
+  readonly #clock: Clock;
+
+  readonly #limits: BudgetLimits;
+
+  readonly #windows = new Map<string, SharedWindow>();
+
+  /**
+   * @param clock - Source of time.
+   * @param limits - Share and window.
+   */
+  constructor(clock: Clock, limits: BudgetLimits = retryLimits) {
+    if (!(limits.share >= 0 && limits.share <= 1)) {
+      throw new RangeError(`share ${limits.share} is not from 0 to 1`);
+    }
+    this.#clock = clock;
+    this.#limits = limits;
+  }
+
+  /** @param groups - Every group that a new call belongs to, such as its tenant and service. */
+  recordCall(groups: readonly string[]): void {
+    for (const group of groups) this.#findWindow(group).addCall();
+  }
+
+  /**
+   * @param groups - Every group that the call belongs to.
+   * @returns Whether all of them have room for one more extra attempt.
+   */
+  hasRoom(groups: readonly string[]): boolean {
+    return groups.every((group) => this.#findWindow(group).hasRoom(this.#limits.share));
+  }
+
+  /** @param groups - Every group of a call that makes an extra attempt now. */
+  recordExtra(groups: readonly string[]): void {
+    for (const group of groups) this.#findWindow(group).addExtra();
+  }
+
+  #findWindow(group: string): SharedWindow {
+    const known = this.#windows.get(group);
+    if (known) return known;
+    const window = new SharedWindow(this.#clock, this.#limits.windowMs);
+    this.#windows.set(group, window);
+    return window;
+  }
+}
--- a/packages/retries/src/index.ts
+++ b/packages/retries/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './budget.js';
+export * from './hedger.js';
+export * from './policy.js';
