--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,273 @@
+import type { Service } from '@dotterelpass/values';
+import { Cluster, call, findPort, waitFor } from './cluster.js';
+import type { Running } from './cluster.js';
+import { makeService } from './deployment.js';
+import type { Deployment, ServiceSize } from './deployment.js';
+
+export interface FleetOptions {
+  readonly deployment: Deployment;
+  /** Number of entry instances. */
+  readonly entries?: number;
+  /** Services to start; all of the deployment when absent. */
+  readonly services?: readonly string[];
+  /** Puts the delay between failure domains on the way to endpoints. */
+  readonly delays?: boolean;
+  readonly entryFlags?: Readonly<Record<string, string | number>>;
+  readonly endpointFlags?: Readonly<Record<string, string | number>>;
+  readonly platformFlags?: Readonly<Record<string, string | number>>;
+  /** Fields of each service's rule that differ from the usual. */
+  readonly rule?: Readonly<Record<string, unknown>>;
+  /** Changes a service before it is stored. */
+  readonly adapt?: (service: Service) => Service;
+}
+
+/** One entry instance of a fleet. */
+export interface EntryProcess {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly callerPort: number;
+  readonly operatorPort: number;
+  readonly peerPort: number;
+  readonly flags: Readonly<Record<string, string | number>>;
+  readonly running: Running;
+}
+
+/** One endpoint of a fleet. `port` is its own; calls may reach it through the fault proxy. */
+export interface EndpointProcess {
+  readonly name: string;
+  readonly service: string;
+  readonly failureDomain: string;
+  readonly port: number;
+  readonly address: string;
+  readonly running: Running;
+}
+
+interface LedgerLine {
+  readonly key: string;
+  readonly cancelled: boolean;
+}
+
+/** Token that the fleets of the bench give to operators. */
+export const operatorToken = 'operator token of the bench';
+
+const peerKey = 'shared key of the bench';
+const startTimeoutMs = 20_000;
+
+/** A platform, endpoints and entry instances, all of them real processes. */
+export class Fleet {
+  readonly cluster = new Cluster();
+
+  readonly platformPort: number;
+
+  readonly #options: FleetOptions;
+
+  #entries: readonly EntryProcess[] = [];
+
+  #endpoints: readonly EndpointProcess[] = [];
+
+  #proxyPort = 0;
+
+  private constructor(options: FleetOptions, platformPort: number) {
+    this.#options = options;
+    this.platformPort = platformPort;
+  }
+
+  /**
+   * Starts a fleet and waits until every entry instance is ready.
+   *
+   * @param options - Sizes and settings.
+   * @returns The running fleet; `close` ends it.
+   */
+  static async open(options: FleetOptions): Promise<Fleet> {
+    const fleet = new Fleet(options, await findPort());
+    try {
+      await fleet.#start();
+    } catch (error) {
+      await fleet.close();
+      throw error;
+    }
+    return fleet;
+  }
+
+  get entries(): readonly EntryProcess[] {
+    return this.#entries;
+  }
+
+  get endpoints(): readonly EndpointProcess[] {
+    return this.#endpoints;
+  }
+
+  /** Addresses for callers of all entry instances. */
+  get targets(): string[] {
+    return this.#entries.map(({ callerPort }) => `127.0.0.1:${callerPort}`);
+  }
+
+  /** Endpoints of one service. */
+  findEndpoints(service: string): readonly EndpointProcess[] {
+    return this.#endpoints.filter((endpoint) => endpoint.service === service);
+  }
+
+  /** Stores the first configuration of a service, as revision 1. */
+  async storeService(service: Service): Promise<void> {
+    const body = JSON.stringify({ revision: 1, service, history: [] });
+    const path = `/v1/kv/config/services/${service.name}?cas=0`;
+    const reply = await call(this.platformPort, path, { method: 'PUT', body });
+    if (reply.status !== 200) throw new Error(`the platform refused ${service.name}`);
+  }
+
+  /** Sets the faults of an endpoint; those not named are off. */
+  async setEndpointFaults(
+    endpoint: EndpointProcess,
+    faults: Readonly<Record<string, unknown>>,
+  ): Promise<void> {
+    await putFaults(endpoint.port, '/standin/faults', faults);
+  }
+
+  /** Sets the faults of the platform; those not named are off. */
+  async setPlatformFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await putFaults(this.platformPort, '/standin/faults', faults);
+  }
+
+  /** Sets faults on the way to an endpoint, `*` for all; needs the option `delays`. */
+  async setPathFaults(name: string, faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await putFaults(this.#proxyPort, `/standin/faults/${encodeURIComponent(name)}`, faults);
+  }
+
+  /** Ends an entry instance and starts it again with the same settings. */
+  async restartEntry(index: number, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+    const old = this.#entries[index];
+    if (!old) throw new RangeError(`the fleet has no entry instance ${index}`);
+    await old.running.end(signal);
+    const running = await this.cluster.start('entry', old.flags);
+    const entry = { ...old, running };
+    this.#entries = this.#entries.map((each) => (each === old ? entry : each));
+  }
+
+  /** Waits until an entry instance says that it is ready. */
+  async waitUntilReady(entry: EntryProcess): Promise<void> {
+    await waitFor(
+      async () =>
+        (await call(entry.operatorPort, '/readyz').catch(() => undefined))?.status === 200,
+      startTimeoutMs,
+      `${entry.name} is not ready`,
+    );
+  }
+
+  /** @returns How often each key ran to its end or may have, over all living endpoints. */
+  async countRuns(): Promise<ReadonlyMap<string, number>> {
+    const living = this.#endpoints.filter(({ running }) => running.process.exitCode === null);
+    const ledgers = await Promise.all(
+      living.map(async ({ port }) => {
+        const reply = await call(port, '/standin/ledger');
+        return JSON.parse(reply.body.toString()) as LedgerLine[];
+      }),
+    );
+    const counts = new Map<string, number>();
+    for (const { key } of ledgers.flat()) {
+      if (key !== '') counts.set(key, (counts.get(key) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  /** Ends all processes. */
+  async close(): Promise<void> {
+    await this.cluster.close();
+  }
+
+  async #start(): Promise<void> {
+    const { deployment, services } = this.#options;
+    const sizes = deployment.services.filter(({ name }) => services?.includes(name) ?? true);
+    await this.cluster.start('platform', {
+      listen: `127.0.0.1:${this.platformPort}`,
+      ...this.#options.platformFlags,
+    });
+    await Promise.all(sizes.map((size) => this.#startEndpoints(size)));
+    if (this.#options.delays) await this.#startProxy();
+    for (const size of sizes) {
+      const addresses = this.findEndpoints(size.name).map(({ address }) => address);
+      const { rule, adapt } = this.#options;
+      const service = makeService(size, deployment.failureDomains, addresses, rule);
+      await this.storeService(adapt ? adapt(service) : service);
+    }
+    await this.#startEntries();
+  }
+
+  async #startEndpoints({ name, workers }: ServiceSize): Promise<void> {
+    const { failureDomains } = this.#options.deployment;
+    const started = await Promise.all(
+      Array.from({ length: workers }, async (_, index) => {
+        const port = await findPort();
+        const id = `${name}-${index + 1}`;
+        const running = await this.cluster.start('endpoint', {
+          listen: `127.0.0.1:${port}`,
+          name: id,
+          ...this.#options.endpointFlags,
+        });
+        const failureDomain = failureDomains[index % failureDomains.length] as string;
+        const address = `127.0.0.1:${port}`;
+        return { name: id, service: name, failureDomain, port, address, running };
+      }),
+    );
+    this.#endpoints = [...this.#endpoints, ...started];
+  }
+
+  /** Puts one route of the fault proxy before each endpoint. */
+  async #startProxy(): Promise<void> {
+    this.#proxyPort = await findPort();
+    this.#endpoints = await Promise.all(
+      this.#endpoints.map(async (endpoint) => ({
+        ...endpoint,
+        address: `127.0.0.1:${await findPort()}`,
+      })),
+    );
+    const routes = this.#endpoints.map(
+      ({ name, address, port }) => `${name}=${address}>127.0.0.1:${port}`,
+    );
+    await this.cluster.start('faultproxy', {
+      control: `127.0.0.1:${this.#proxyPort}`,
+      routes: routes.join(','),
+    });
+    await this.setPathFaults('*', { delayMs: this.#options.deployment.betweenDomainsMs });
+  }
+
+  async #startEntries(): Promise<void> {
+    const { deployment, entries = 5, entryFlags } = this.#options;
+    const planned = await Promise.all(
+      Array.from({ length: entries }, async (_, index) => ({
+        name: `entry-${index + 1}`,
+        failureDomain: deployment.failureDomains[
+          index % deployment.failureDomains.length
+        ] as string,
+        callerPort: await findPort(),
+        operatorPort: await findPort(),
+        peerPort: await findPort(),
+      })),
+    );
+    const peers = planned.map(({ name, peerPort }) => `${name}=127.0.0.1:${peerPort}`);
+    this.#entries = await Promise.all(
+      planned.map(async (entry, index) => {
+        const others = peers.filter((_, other) => other !== index).join(',');
+        const { name, ...ports } = entry;
+        const flags = {
+          instance: name,
+          ...ports,
+          platform: `127.0.0.1:${this.platformPort}`,
+          peerKey,
+          ...(others ? { peers: others } : {}),
+          ...entryFlags,
+        };
+        return { ...entry, flags, running: await this.cluster.start('entry', flags) };
+      }),
+    );
+    await Promise.all(this.#entries.map((entry) => this.waitUntilReady(entry)));
+  }
+}
+
+async function putFaults(
+  port: number,
+  path: string,
+  faults: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  const reply = await call(port, path, { method: 'PUT', body: JSON.stringify(faults) });
+  if (reply.status !== 200) throw new Error(`faults refused: ${reply.body.toString()}`);
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,3 @@
+export * from './pipe.js';
 export * from './server.js';
 export * from './store.js';
