--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -1,3 +1,7 @@
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { LedgerLine } from '@dotterelpass/standins';
 import type { Service } from '@dotterelpass/values';
 import { Cluster, call, findPort, waitFor } from './cluster.js';
 import type { Running } from './cluster.js';
@@ -42,11 +46,6 @@
   readonly running: Running;
 }
 
-interface LedgerLine {
-  readonly key: string;
-  readonly cancelled: boolean;
-}
-
 /** Token that the fleets of the bench give to operators. */
 export const operatorToken = 'operator token of the bench';
 
@@ -67,6 +66,9 @@
 
   #proxyPort = 0;
 
+  /** Holds the ledger that all endpoints write to. */
+  #directory = '';
+
   private constructor(options: FleetOptions, platformPort: number) {
     this.#options = options;
     this.platformPort = platformPort;
@@ -153,17 +155,11 @@
     );
   }
 
-  /** @returns How often each key ran to its end or may have, over all living endpoints. */
+  /** @returns How often each key began to run, over all endpoints, ended ones included. */
   async countRuns(): Promise<ReadonlyMap<string, number>> {
-    const living = this.#endpoints.filter(({ running }) => running.process.exitCode === null);
-    const ledgers = await Promise.all(
-      living.map(async ({ port }) => {
-        const reply = await call(port, '/standin/ledger');
-        return JSON.parse(reply.body.toString()) as LedgerLine[];
-      }),
-    );
     const counts = new Map<string, number>();
-    for (const { key } of ledgers.flat()) {
+    for (const text of (await readFile(this.#ledger, 'utf8')).split('\n').filter(Boolean)) {
+      const { key } = JSON.parse(text) as LedgerLine;
       if (key !== '') counts.set(key, (counts.get(key) ?? 0) + 1);
     }
     return counts;
@@ -172,9 +168,16 @@
   /** Ends all processes. */
   async close(): Promise<void> {
     await this.cluster.close();
+    await rm(this.#directory, { recursive: true, force: true });
+  }
+
+  get #ledger(): string {
+    return join(this.#directory, 'ledger.jsonl');
   }
 
   async #start(): Promise<void> {
+    this.#directory = await mkdtemp(join(tmpdir(), 'dotterelpass-'));
+    await writeFile(this.#ledger, '');
     const { deployment, services } = this.#options;
     const sizes = deployment.services.filter(({ name }) => services?.includes(name) ?? true);
     await this.cluster.start('platform', {
@@ -201,6 +204,7 @@
         const running = await this.cluster.start('endpoint', {
           listen: `127.0.0.1:${port}`,
           name: id,
+          ledger: this.#ledger,
           ...this.#options.endpointFlags,
         });
         const failureDomain = failureDomains[index % failureDomains.length] as string;
--- a/packages/load/src/runner.ts
+++ b/packages/load/src/runner.ts
@@ -22,6 +22,9 @@
   readonly sending: number;
 }
 
+/** A target that refused a connection is left alone for this long. */
+const downMs = 500;
+
 /** A timer of Node is late by up to this long; nearer arrivals are waited for by polling. */
 const timerLagMs = 2;
 
@@ -39,6 +42,9 @@
 
   #open = 0;
 
+  /** When a target that refused a connection is tried again. */
+  readonly #downUntil = new Map<string, number>();
+
   /** @param plan - What to send. */
   constructor(plan: Plan) {
     this.#plan = plan;
@@ -95,12 +101,14 @@
   }
 
   async #send(
-    { kind, workMs, long }: Arrival,
+    arrival: Arrival,
     key: string | undefined,
     sending: number,
     atMs: number,
   ): Promise<Outcome> {
-    const [host = '', port = ''] = this.#pickTarget().split(':');
+    const { kind, workMs, long } = arrival;
+    const target = this.#pickTarget();
+    const [host = '', port = ''] = target.split(':');
     const query = `ms=${workMs.toFixed(2)}${kind.answerBytes ? `&bytes=${kind.answerBytes}` : ''}`;
     const body = kind.bodyBytes > 0 ? Buffer.alloc(kind.bodyBytes, 'x') : undefined;
     const finish = (status: number, verdict?: Verdict): Outcome => ({
@@ -141,15 +149,32 @@
         });
       });
       outgoing.on('error', (error: NodeJS.ErrnoException) => {
-        settle(finish(0, error.code === 'ECONNREFUSED' ? 'not-run' : 'may-have-run'));
+        if (error.code !== 'ECONNREFUSED') {
+          settle(finish(0, 'may-have-run'));
+          return;
+        }
+        // As the platform's balancer does: nothing was sent, so another target may answer.
+        const known = this.#isDown(target);
+        this.#downUntil.set(target, performance.now() + downMs);
+        if (known) settle(finish(0, 'not-run'));
+        else void this.#send(arrival, key, sending, atMs).then(settle);
       });
       outgoing.end(body);
     });
   }
 
+  #isDown(target: string): boolean {
+    return (this.#downUntil.get(target) ?? 0) > performance.now();
+  }
+
+  /** Takes the targets in turn, and passes over those that refused a connection lately. */
   #pickTarget(): string {
-    const target = this.#plan.targets[this.#next % this.#plan.targets.length] as string;
-    this.#next += 1;
-    return target;
+    const { targets } = this.#plan;
+    for (let tried = 0; tried < targets.length; tried++) {
+      const target = targets[this.#next % targets.length] as string;
+      this.#next += 1;
+      if (!this.#isDown(target)) return target;
+    }
+    return targets[this.#next % targets.length] as string;
   }
 }
--- a/packages/standins/src/endpoint.ts
+++ b/packages/standins/src/endpoint.ts
@@ -30,6 +30,7 @@
       describe: 'Open connections before new ones are refused',
       schema: z.coerce.number().int().min(1).max(65_535).default(200),
     },
+    ledger: { describe: 'File to which each run is added', schema: z.string().optional() },
     acceptMs: {
       describe: 'Time before a new connection is served, in milliseconds',
       schema: settingSchemas.milliseconds.default(1),
--- a/packages/standins/src/server.ts
+++ b/packages/standins/src/server.ts
@@ -1,4 +1,5 @@
 import { EventEmitter } from 'node:events';
+import { appendFileSync } from 'node:fs';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -25,14 +26,12 @@
 
 type Faults = z.infer<typeof faultSchema>;
 
-/** One line of the ledger: a call that took effect or may have. */
+/** One line of the ledger: a call that has begun to run, and so may have taken effect. */
 export interface LedgerLine {
   readonly key: string;
   readonly requestId: string;
   readonly path: string;
   readonly startedAt: number;
-  readonly endedAt: number;
-  readonly cancelled: boolean;
 }
 
 export interface EndpointOptions {
@@ -42,6 +41,8 @@
   readonly workMs: number;
   readonly connections: number;
   readonly acceptMs: number;
+  /** File to which each line of the ledger is added, so that it outlives the process. */
+  readonly ledger?: string | undefined;
 }
 
 interface Work {
@@ -165,13 +166,12 @@
   }
 
   async #run({ request, response, url, body }: Work): Promise<void> {
-    const startedAt = Date.now();
-    const line = {
+    this.#record({
       key: String(request.headers['idempotency-key'] ?? url.searchParams.get('key') ?? ''),
       requestId: String(request.headers['x-request-id'] ?? ''),
       path: url.pathname,
-      startedAt,
-    };
+      startedAt: Date.now(),
+    });
     if (url.searchParams.has('crash')) {
       this.emit('crash');
       return;
@@ -186,11 +186,17 @@
         resolve();
       });
     });
-    this.#ledger.push({ ...line, endedAt: Date.now(), cancelled: response.destroyed });
     if (response.destroyed || this.#silenced.has(request.socket)) return;
     this.#answer(request, response, url, body);
   }
 
+  #record(line: LedgerLine): void {
+    this.#ledger.push(line);
+    const { ledger } = this.#options;
+    // Written at once: a killed process must leave no run out.
+    if (ledger !== undefined) appendFileSync(ledger, `${JSON.stringify(line)}\n`);
+  }
+
   #answer(request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer): void {
     const wanted = Number(url.searchParams.get('bytes') ?? 0);
     const text = JSON.stringify({
--- /dev/null
+++ b/packages/values/test/values.test.ts
@@ -0,0 +1,124 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import {
+  findRule,
+  findService,
+  makeRandom,
+  rankByHash,
+  serviceSchema,
+  shuffle,
+  toName,
+} from '../src/index.js';
+import type { Service } from '../src/index.js';
+
+function makeService(name: string, routes: unknown[], changes: object = {}): Service {
+  return serviceSchema.parse({ name, routes, ...changes });
+}
+
+describe('routes', () => {
+  const services = [
+    makeService('fees', [{ pathPrefix: '/fee' }]),
+    makeService('late-fees', [{ pathPrefix: '/fee/late' }]),
+    makeService('other-host', [{ host: 'b.example', pathPrefix: '/' }]),
+  ];
+
+  /** Guards against a call that reaches the service of a neighbouring path. */
+  it.each([
+    { host: 'a', path: '/fee', expected: 'fees' },
+    { host: 'a', path: '/fee/7', expected: 'fees' },
+    { host: 'a', path: '/fees', expected: undefined },
+    { host: 'a', path: '/fee/late/7', expected: 'late-fees' },
+    { host: 'b.example', path: '/fee/late/7', expected: 'other-host' },
+    { host: 'a', path: '/', expected: undefined },
+  ])('$host $path leads to $expected', ({ host, path, expected }) => {
+    expect(findService(services, host, path)?.name).toBe(expected);
+  });
+});
+
+describe('rules', () => {
+  const service = makeService('s', [], {
+    rules: [
+      { name: 'search', methods: ['POST'], pathPrefix: '/s/search', repeat: 'idempotent' },
+      { name: 'pay', methods: ['POST'], repeat: 'once' },
+    ],
+  });
+
+  /** Guards money: a method that no rule names must not count as idempotent unless it is safe. */
+  it.each([
+    { method: 'POST', path: '/s/search/x', name: 'search', repeat: 'idempotent' },
+    { method: 'POST', path: '/s', name: 'pay', repeat: 'once' },
+    { method: 'GET', path: '/s', name: 'default-idempotent', repeat: 'idempotent' },
+    { method: 'PUT', path: '/s', name: 'default-once', repeat: 'once' },
+    { method: 'DELETE', path: '/s', name: 'default-once', repeat: 'once' },
+  ])('$method $path falls under $name', ({ method, path, name, repeat }) => {
+    expect(findRule(service, method, path)).toMatchObject({ name, repeat });
+  });
+});
+
+describe('checked values', () => {
+  it.each([
+    { name: 'no port', endpoint: { id: 'a', address: '127.0.0.1', failureDomain: 'x' } },
+    { name: 'a bad part', endpoint: { id: 'a', address: '127.0.0.256:1', failureDomain: 'x' } },
+    { name: 'a bad id', endpoint: { id: 'A b', address: '127.0.0.1:1', failureDomain: 'x' } },
+    {
+      name: 'no slots',
+      endpoint: { id: 'a', address: '127.0.0.1:1', failureDomain: 'x', slots: 0 },
+    },
+  ])('refuse an endpoint with $name', ({ endpoint }) => {
+    expect(serviceSchema.safeParse({ name: 's', endpoints: [endpoint] }).success).toBe(false);
+  });
+
+  it('refuse two endpoints with one id', () => {
+    const endpoint = { id: 'a', address: '127.0.0.1:1', failureDomain: 'x' };
+    const parsed = serviceSchema.safeParse({ name: 's', endpoints: [endpoint, endpoint] });
+    expect(parsed.success).toBe(false);
+  });
+
+  it.each(['', 'A', '-a', 'a-', 'a b', 'a'.repeat(65)])('refuse the name %j', (text) => {
+    expect(() => toName(text)).toThrow(RangeError);
+  });
+});
+
+describe('rendezvous hashing', () => {
+  const names = fc.uniqueArray(fc.stringMatching(/^[a-z0-9]{1,8}$/), {
+    minLength: 2,
+    maxLength: 12,
+  });
+
+  /** Guards the owners of slots and shards: only those of the lost instance may move. */
+  it('moves only the keys of a candidate that leaves', () => {
+    fc.assert(
+      fc.property(names, fc.string(), (candidates, key) => {
+        const before = rankByHash(key, candidates);
+        const lost = candidates[0] as string;
+        const after = rankByHash(
+          key,
+          candidates.filter((name) => name !== lost),
+        );
+        expect(after).toEqual(before.filter((name) => name !== lost));
+      }),
+      { seed: 11 },
+    );
+  });
+
+  /** Guards against one entry instance that owns most of the slots. */
+  it('spreads keys evenly over similar names', () => {
+    const candidates = ['entry-1', 'entry-2', 'entry-3', 'entry-4', 'entry-5'];
+    const counts = new Map<string, number>();
+    for (let key = 0; key < 5000; key++) {
+      const [owner = ''] = rankByHash(`status-${key % 50}|${key}`, candidates);
+      counts.set(owner, (counts.get(owner) ?? 0) + 1);
+    }
+    for (const count of counts.values()) expect(Math.abs(count - 1000)).toBeLessThan(150);
+  });
+});
+
+it('shuffles without losing items', () => {
+  fc.assert(
+    fc.property(fc.array(fc.integer()), fc.integer({ min: 0 }), (items, seed) => {
+      const shuffled = shuffle(makeRandom(seed), items);
+      expect([...shuffled].sort()).toEqual([...items].sort());
+    }),
+    { seed: 12 },
+  );
+});
