--- a/packages/selection/src/index.ts
+++ b/packages/selection/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './policy.js';
+export * from './health.js';
