Queue calls fairly, and refuse at once those that would wait in vain

Deficit round robin between tenants, priorities within a tenant, and a bound that follows the completions of the last second. Held slots bound the rate from below: after a quiet time the completions alone would refuse a burst that the pool can serve.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './queue.js';
+export * from './rate.js';
