--- a/packages/credits/src/index.ts
+++ b/packages/credits/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './pool.js';
