--- a/packages/configuration/src/force.ts
+++ b/packages/configuration/src/force.ts
@@ -1,15 +1,46 @@
+import { createHash } from 'node:crypto';
 import type { Service, ServiceId } from '@dotterelpass/values';
 import type { ServiceDocument } from './document.js';
+import { writeDocument } from './document.js';
 
 /** What came of an offered document. */
 export type OfferOutcome = 'applied' | 'known' | 'older' | 'conflicting';
 
+/** Names one revision of one service's configuration and its exact content. */
+export interface DocumentDigest {
+  readonly service: ServiceId;
+  readonly revision: number;
+  /** SHA-256 of the stored form, in hexadecimal. */
+  readonly hash: string;
+}
+
+interface Held {
+  readonly document: ServiceDocument;
+  readonly digest: DocumentDigest;
+}
+
+/**
+ * Makes the digest of a document.
+ *
+ * @param document - The document, as `readDocument` gave it.
+ * @returns Its digest; equal digests mean equal documents.
+ */
+export function makeDigest(document: ServiceDocument): DocumentDigest {
+  return {
+    service: document.service.name,
+    revision: document.revision,
+    hash: createHash('sha256').update(writeDocument(document)).digest('hex'),
+  };
+}
+
 /** The configuration in force on one instance. A service's revision only ever rises. */
 export class InForce {
-  #documents: ReadonlyMap<ServiceId, ServiceDocument> = new Map();
+  #held: ReadonlyMap<ServiceId, Held> = new Map();
 
   #services: readonly Service[] = [];
 
+  #listeners: readonly ((document: ServiceDocument) => void)[] = [];
+
   /** The services that are not removed. */
   get services(): readonly Service[] {
     return this.#services;
@@ -17,7 +48,26 @@
 
   /** All documents, removed services included. */
   get documents(): ReadonlyMap<ServiceId, ServiceDocument> {
-    return this.#documents;
+    return new Map([...this.#held].map(([name, { document }]) => [name, document]));
+  }
+
+  /** The digests of all documents, removed services included. */
+  get digests(): readonly DocumentDigest[] {
+    return [...this.#held.values()].map(({ digest }) => digest);
+  }
+
+  /** @returns The document in force, that of a removed service included. */
+  findDocument(service: ServiceId): ServiceDocument | undefined {
+    return this.#held.get(service)?.document;
+  }
+
+  /**
+   * Registers a function that is called with each document after it came in force.
+   *
+   * @param listener - The function.
+   */
+  watch(listener: (document: ServiceDocument) => void): void {
+    this.#listeners = [...this.#listeners, listener];
   }
 
   /**
@@ -27,15 +77,18 @@
    * @returns `conflicting` when it has the present revision and another content.
    */
   offer(document: ServiceDocument): OfferOutcome {
-    const present = this.#documents.get(document.service.name);
-    if (present && document.revision < present.revision) return 'older';
-    if (present && document.revision === present.revision) {
-      return JSON.stringify(present) === JSON.stringify(document) ? 'known' : 'conflicting';
+    const { name } = document.service;
+    const present = this.#held.get(name);
+    if (present && document.revision < present.document.revision) return 'older';
+    const digest = makeDigest(document);
+    if (present && document.revision === present.document.revision) {
+      return present.digest.hash === digest.hash ? 'known' : 'conflicting';
     }
-    this.#documents = new Map(this.#documents).set(document.service.name, document);
-    this.#services = [...this.#documents.values()]
-      .filter(({ removed }) => !removed)
-      .map(({ service }) => service);
+    this.#held = new Map(this.#held).set(name, { document, digest });
+    this.#services = [...this.#held.values()]
+      .filter((held) => !held.document.removed)
+      .map((held) => held.document.service);
+    this.#listeners.forEach((listener) => listener(document));
     return 'applied';
   }
 }
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -86,15 +86,22 @@
    *
    * @param key - The key or prefix.
    * @param options - `recurse` reads a prefix; `waitIndex` and `waitMs` wait for a change
-   * after that index.
+   * after that index; `consistent` asks for the newest state at the cost of a round trip inside
+   * the platform.
    * @returns The entries, none when nothing is stored.
    */
   async read(
     key: string,
-    options: { recurse?: boolean; waitIndex?: number; waitMs?: number } = {},
+    options: {
+      recurse?: boolean;
+      waitIndex?: number;
+      waitMs?: number;
+      consistent?: boolean;
+    } = {},
   ): Promise<Result<Reading, PlatformError>> {
     const query = new URLSearchParams();
     if (options.recurse) query.set('recurse', 'true');
+    if (options.consistent) query.set('consistent', '');
     const waiting = options.waitIndex !== undefined;
     if (waiting) {
       query.set('index', String(options.waitIndex));
@@ -216,11 +223,48 @@
     );
   }
 
+  /**
+   * Puts an instance on the platform's list, or changes its entry.
+   *
+   * @param kind - The registered name, such as `dotterelpass-entry`.
+   * @param instance - The instance; `leaving` is registered as the meta value `leaving`.
+   */
+  async registerInstance(
+    kind: string,
+    instance: ListedInstance,
+  ): Promise<Result<void, PlatformError>> {
+    const { id, address, port, leaving, meta } = instance;
+    const body = {
+      Name: kind,
+      ID: id,
+      Address: address,
+      Port: port,
+      Meta: leaving ? { ...meta, leaving: 'true' } : meta,
+    };
+    return this.#register('/v1/agent/service/register', Buffer.from(JSON.stringify(body)));
+  }
+
+  /**
+   * Takes an instance off the platform's list.
+   *
+   * @param id - The id under which it was registered.
+   */
+  async deregisterInstance(id: string): Promise<Result<void, PlatformError>> {
+    return this.#register(`/v1/agent/service/deregister/${id}`, undefined);
+  }
+
   /** Closes idle connections. */
   close(): void {
     this.#agent.destroy();
   }
 
+  async #register(path: string, body: Buffer | undefined): Promise<Result<void, PlatformError>> {
+    const answer = await this.#call('PUT', path, body, defaultTimeoutMs);
+    if (answer.isErr()) return err(answer.error);
+    const { status } = answer.value;
+    return status === 200 ? ok(undefined) : err(toStatusError(status, answer.value.body));
+  }
+
   async #write(
     method: string,
     path: string,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,2 @@
+export * from './backoff.js';
 export * from './client.js';
