Apply operator commands to configuration values

Commands are typed changes of one service. A document keeps its last 64 decisions and 256 command ids and stays below 512 KB. A higher revision comes in force only when it holds the newest decision of the present one, so a restored backup that goes on counting cannot revert decisions.

--- a/packages/configuration/src/document.ts
+++ b/packages/configuration/src/document.ts
@@ -10,6 +10,10 @@
   atMs: z.number(),
   text: z.string().max(4096),
   revision: z.number().int().min(1),
+  /** The typed change. Its fields stay as they are, also those of a later version. */
+  change: z.record(z.string(), z.unknown()).optional(),
+  /** Set when a restore found that the decision contradicts one that stands. */
+  superseded: z.literal(true).optional(),
 });
 
 /** The stored configuration of one service with the decisions that led to it. */
@@ -20,6 +24,10 @@
   history: z.array(decisionSchema),
   /** Number of decisions that were dropped from the history. */
   compacted: z.number().int().min(0).default(0),
+  /** Ids of the newest of the dropped decisions, oldest first. */
+  earlier: z
+    .array(z.object({ commandId: z.string(), revision: z.number().int().min(1) }))
+    .default([]),
 });
 
 export type Decision = z.infer<typeof decisionSchema>;
--- a/packages/configuration/src/force.ts
+++ b/packages/configuration/src/force.ts
@@ -2,6 +2,7 @@
 import type { Service, ServiceId } from '@dotterelpass/values';
 import type { ServiceDocument } from './document.js';
 import { writeDocument } from './document.js';
+import { isSuccessor } from './history.js';
 
 /** What came of an offered document. */
 export type OfferOutcome = 'applied' | 'known' | 'older' | 'conflicting';
@@ -74,12 +75,16 @@
    * Puts a document in force if its revision is higher than the present one.
    *
    * @param document - A document from the platform or from a peer.
-   * @returns `conflicting` when it has the present revision and another content.
+   * @returns `conflicting` when it has the present revision and another content, or a higher
+   * revision that lacks the newest decision of the present one.
    */
   offer(document: ServiceDocument): OfferOutcome {
     const { name } = document.service;
     const present = this.#held.get(name);
     if (present && document.revision < present.document.revision) return 'older';
+    if (present && document.revision > present.document.revision) {
+      if (!isSuccessor(present.document, document)) return 'conflicting';
+    }
     const digest = makeDigest(document);
     if (present && document.revision === present.document.revision) {
       return present.digest.hash === digest.hash ? 'known' : 'conflicting';
--- /dev/null
+++ b/packages/configuration/test/apply.test.ts
@@ -0,0 +1,230 @@
+import { describe, expect, it } from 'vitest';
+import fc from 'fast-check';
+import type { Result } from 'neverthrow';
+import {
+  applyCommand,
+  changeSchema,
+  maxCommandIds,
+  maxHistory,
+  writeDocument,
+} from '../src/index.js';
+import type { Command, ServiceDocument } from '../src/index.js';
+
+function makeCommand(change: unknown, commandId = 'c'): Command {
+  return { commandId, author: 'rosa', atMs: 1, change: changeSchema.parse(change) };
+}
+
+function takeValue<T>(result: Result<T, unknown>): T {
+  return result.match(
+    (value) => value,
+    (error) => {
+      throw new Error(JSON.stringify(error));
+    },
+  );
+}
+
+function takeError<E>(result: Result<unknown, E>): E {
+  if (result.isOk()) throw new Error(`accepted: ${JSON.stringify(result.value)}`);
+  return result.error;
+}
+
+/** Applies changes in turn; each has to be accepted. */
+function applyAll(changes: readonly unknown[]): ServiceDocument {
+  return changes.reduce<ServiceDocument | undefined>(
+    (document, change, index) =>
+      takeValue(applyCommand(document, makeCommand(change, `c${index}`))),
+    undefined,
+  ) as ServiceDocument;
+}
+
+const service = 'fees';
+const at = { address: '10.0.0.1:80', failureDomain: 'cercado' };
+const base = applyAll([
+  { kind: 'create-service', service },
+  { kind: 'add-endpoint', service, endpoint: 'e1', ...at },
+  { kind: 'add-endpoint', service, endpoint: 'e2', ...at },
+  { kind: 'drain-endpoint', service, endpoint: 'e2' },
+  { kind: 'add-rule', service, rule: 'pay', repeat: 'once', methods: ['POST'] },
+  { kind: 'add-route', service, pathPrefix: '/fees' },
+  { kind: 'set-tenant', service, tenant: 'office', weight: 2 },
+]);
+const removed = applyCommand(base, makeCommand({ kind: 'remove-service', service }));
+
+/** Every list at its limit: 360 KB. */
+function makeLargeService(): ServiceDocument['service'] {
+  const [endpoint] = base.service.endpoints;
+  const [rule] = base.service.rules;
+  const long = 'x'.repeat(59);
+  return {
+    ...base.service,
+    endpoints: [...Array(1024).keys()].map((n) => ({
+      ...(endpoint as NonNullable<typeof endpoint>),
+      id: `${long}${n}` as NonNullable<typeof endpoint>['id'],
+      failureDomain: long as NonNullable<typeof endpoint>['failureDomain'],
+    })),
+    rules: Array(64).fill({
+      ...rule,
+      pathPrefix: `/${long.repeat(8)}`,
+      methods: Array(16).fill(long.toUpperCase()),
+    }),
+  };
+}
+
+describe('applyCommand', () => {
+  const e2 = { kind: 'add-endpoint', service, endpoint: 'e2' };
+  const rule = { service, rule: 'pay' };
+
+  /** Guards against commands that change something else than they say. */
+  it.each([
+    { change: e2, expected: { endpoints: [{}, { id: 'e2', state: 'active', ...at }] } },
+    { change: { ...e2, slots: 5 }, expected: { endpoints: [{}, { id: 'e2', slots: 5 }] } },
+    {
+      change: { kind: 'stop-endpoint', service, endpoint: 'e1' },
+      expected: { endpoints: [{ state: 'stopped' }, { state: 'draining' }] },
+    },
+    {
+      change: { kind: 'set-slots', service, endpoint: 'e1', slots: 7 },
+      expected: { endpoints: [{ slots: 7, connections: 200 }, { slots: 3 }] },
+    },
+    {
+      change: { kind: 'remove-endpoint', service, endpoint: 'e2' },
+      expected: { endpoints: [{ id: 'e1' }] },
+    },
+    {
+      change: { kind: 'add-rule', service, rule: 'a', repeat: 'idempotent', before: 'pay' },
+      expected: { rules: [{ name: 'a', maxAttempts: 3 }, { name: 'pay' }] },
+    },
+    {
+      change: { kind: 'set-rule', ...rule, retryStatuses: [503], deadlineMs: 900, hedge: true },
+      expected: { rules: [{ repeat: 'once', retryStatuses: [503], deadlineMs: 900, hedge: true }] },
+    },
+    { change: { kind: 'remove-rule', ...rule }, expected: { rules: [] } },
+    {
+      change: { kind: 'add-route', service, pathPrefix: '/', host: 'h' },
+      expected: { routes: [{ pathPrefix: '/fees' }, { pathPrefix: '/', host: 'h' }] },
+    },
+    { change: { kind: 'remove-route', service, pathPrefix: '/fees' }, expected: { routes: [] } },
+    {
+      change: { kind: 'set-tenant', service, tenant: 'office', weight: 3 },
+      expected: { tenants: [{ id: 'office', weight: 3 }] },
+    },
+    { change: { kind: 'remove-tenant', service, tenant: 'office' }, expected: { tenants: [] } },
+    {
+      change: { kind: 'set-limits', service, queue: 9 },
+      expected: { limits: { queue: 9, minPoolShare: 0.6 } },
+    },
+  ])('accepts $change', ({ change, expected }) => {
+    const next = takeValue(applyCommand(base, makeCommand(change)));
+    expect(next.service).toMatchObject(expected);
+    expect(next.revision).toBe(base.revision + 1);
+    expect(next.history.at(-1)).toMatchObject({ commandId: 'c', revision: next.revision, change });
+  });
+
+  /** Guards against bad commands that change something or are accepted without an effect. */
+  it.each([
+    { change: { kind: 'create-service', service }, reason: 'exists' },
+    { change: { kind: 'add-endpoint', service, endpoint: 'e1', ...at }, reason: 'exists' },
+    { change: { kind: 'add-endpoint', service, endpoint: 'e3' }, reason: 'bad-command' },
+    { change: { kind: 'drain-endpoint', service, endpoint: 'e2' }, reason: 'no-change' },
+    { change: { kind: 'drain-endpoint', service, endpoint: 'e9' }, reason: 'not-found' },
+    { change: { kind: 'remove-endpoint', service, endpoint: 'e1' }, reason: 'not-allowed' },
+    { change: { kind: 'add-rule', ...rule, repeat: 'once' }, reason: 'exists' },
+    {
+      change: { kind: 'add-rule', service, rule: 'b', repeat: 'once', before: 'z' },
+      reason: 'not-found',
+    },
+    { change: { kind: 'set-rule', service, rule: 'z', priority: 1 }, reason: 'not-found' },
+    { change: { kind: 'remove-route', service, pathPrefix: '/x' }, reason: 'not-found' },
+    { change: { kind: 'restore-service', service }, reason: 'no-change' },
+    {
+      change: { kind: 'add-route', service, pathPrefix: '/'.repeat(500), host: 'h' },
+      document: {
+        ...base,
+        service: { ...base.service, rules: Array(900).fill(base.service.rules[0]) },
+      },
+      reason: 'bad-command',
+    },
+    {
+      change: { kind: 'remove-route', service, pathPrefix: '/fees' },
+      document: { ...base, service: makeLargeService() },
+      reason: 'too-large',
+    },
+  ])('refuses $change as $reason', ({ change, reason, document = base }) => {
+    const before = JSON.stringify(document);
+    expect(takeError(applyCommand(document, makeCommand(change))).reason).toBe(reason);
+    expect(JSON.stringify(document)).toBe(before);
+  });
+
+  /** Guards against a service that comes back with a revision that was used before. */
+  it('keeps the revision of a removed service', () => {
+    const gone = takeValue(removed);
+    expect(gone).toMatchObject({ removed: true, revision: base.revision + 1 });
+    const drain = makeCommand({ kind: 'drain-endpoint', service, endpoint: 'e1' });
+    expect(takeError(applyCommand(gone, drain)).reason).toBe('not-found');
+    const again = applyCommand(gone, makeCommand({ kind: 'create-service', service }));
+    expect(takeValue(again)).toMatchObject({ removed: false, revision: gone.revision + 1 });
+    expect(takeValue(again).service.endpoints).toEqual([]);
+  });
+
+  /** Guards against documents that grow without bound, and ids that are forgotten too early. */
+  it('bounds the history and the command ids', () => {
+    let document = base;
+    for (let index = 0; index < 400; index++) {
+      const change = {
+        kind: 'set-rule',
+        ...rule,
+        pathPrefix: `/${index}${'é'.repeat(500)}`,
+        methods: Array(16).fill('X'.repeat(60)),
+      };
+      document = takeValue(applyCommand(document, makeCommand(change, `id${index}`)));
+    }
+    const ids = [...document.earlier, ...document.history].map(({ commandId }) => commandId);
+    expect(document.history.length).toBeLessThanOrEqual(maxHistory);
+    expect(ids).toHaveLength(maxCommandIds);
+    expect(ids).toEqual([...Array(maxCommandIds).keys()].map((index) => `id${index + 144}`));
+    expect(document.compacted + document.history.length).toBe(document.revision);
+    expect(writeDocument(document).length).toBeLessThan(2 ** 19);
+  });
+
+  /** Guards the state of endpoints against any order of commands, by a model with one map. */
+  it('agrees with a naive model', () => {
+    const kinds = ['add-endpoint', 'drain-endpoint', 'stop-endpoint', 'remove-endpoint'] as const;
+    const step = fc.record({
+      kind: fc.constantFrom(...kinds),
+      endpoint: fc.constantFrom('a', 'b'),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+        let document = applyAll([{ kind: 'create-service', service }]);
+        const model = new Map<string, string>();
+        for (const { kind, endpoint } of steps) {
+          const state = model.get(endpoint);
+          const target = {
+            'add-endpoint': 'active',
+            'drain-endpoint': 'draining',
+            'stop-endpoint': 'stopped',
+          };
+          const accepted =
+            kind === 'remove-endpoint'
+              ? state !== undefined && state !== 'active'
+              : state !== target[kind] && (state !== undefined || kind === 'add-endpoint');
+          const fields = kind === 'add-endpoint' ? at : {};
+          const result = applyCommand(
+            document,
+            makeCommand({ kind, service, endpoint, ...fields }),
+          );
+          expect(result.isOk()).toBe(accepted);
+          document = result.unwrapOr(document);
+          if (accepted && kind === 'remove-endpoint') model.delete(endpoint);
+          else if (accepted && kind !== 'remove-endpoint') model.set(endpoint, target[kind]);
+        }
+        const states = document.service.endpoints.map(({ id, state }): [string, string] => [
+          id,
+          state,
+        ]);
+        expect(states.sort()).toEqual([...model].sort());
+      }),
+      { seed: 7, numRuns: 300 },
+    );
+  });
+});
