--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './detector.js';
+export * from './member.js';
+export * from './message.js';
+export * from './options.js';
