Test the membership bounds that the first tests left open

The bound is now stated by the message type. Removing a mechanism showed tests that did not notice; these are added.

--- a/packages/membership/src/message.ts
+++ b/packages/membership/src/message.ts
@@ -3,9 +3,15 @@
 import { memberStates } from './member.js';
 import type { Member } from './member.js';
 
-/** Most updates that a `members` page carries; other messages carry fewer. */
+/** Most entries of the table that a `members` page carries. */
 export const maxPageLength = 32;
 
+/** Most news that any other message carries; 8 keep it below one Ethernet frame. */
+export const maxNews = 8;
+
+/** Updates besides these: one entry in turn, the receiver's own, and the one asked about. */
+export const maxExtras = 3;
+
 /** A message between detectors. Each carries the sender's own entry and news of others. */
 export interface Message {
   readonly kind: 'ping' | 'ping-req' | 'ack' | 'members';
@@ -40,7 +46,7 @@
 
 const bodySchema = z.object({
   s: memberSchema,
-  u: z.array(memberSchema).max(maxPageLength + 2),
+  u: z.array(memberSchema).max(maxPageLength + maxExtras),
   n: z.number().int().optional(),
   t: z.string().max(64).optional(),
   a: z.string().max(64).optional(),
--- a/packages/membership/src/table.ts
+++ b/packages/membership/src/table.ts
@@ -3,10 +3,7 @@
 import { Gossip } from './gossip.js';
 import { isNewer, isPresent } from './member.js';
 import type { Member } from './member.js';
-import { maxPageLength } from './message.js';
-
-/** Most updates on a ping or an ack; 8 keep the message below one Ethernet frame. */
-const maxNews = 8;
+import { maxNews, maxPageLength } from './message.js';
 
 /** What is known of a member, and since when, in monotonic milliseconds. */
 export interface Row {
--- a/packages/membership/test/detector.test.ts
+++ b/packages/membership/test/detector.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { makeRandom, pickOne } from '@dotterelpass/values';
 import { describe, expect, it } from 'vitest';
-import { maxPageLength } from '../src/index.js';
+import { maxExtras, maxNews, maxPageLength } from '../src/index.js';
 import { Fleet } from './fleet.js';
 
 function startFive(seed = 1): { fleet: Fleet; names: readonly string[] } {
@@ -74,6 +74,46 @@
       fleet.run(1000);
       names.forEach((name) => expect(fleet.live(name)).toEqual(names));
     }
+    expect(fleet.known('n002', 'n001')?.refutation).toBe(0);
+  });
+
+  /** Guards against an instance that takes its own stall for the silence of others. */
+  it('suspects nobody because of its own short stalls', () => {
+    const { fleet, names } = startFive();
+    for (let round = 0; round < 40; round++) {
+      fleet.paused.add('n000');
+      fleet.run(150 + 5 * round);
+      fleet.paused.delete('n000');
+      fleet.run(300);
+    }
+    names.slice(1).forEach((name) => {
+      const viewer = name === 'n001' ? 'n002' : 'n001';
+      expect(fleet.known(viewer, name)?.refutation).toBe(0);
+    });
+  });
+
+  /** Guards the refutation in time: a suspect is asked by everyone who suspects it. */
+  it('declares nobody dead among 40 while 10% of messages are lost', () => {
+    const fleet = new Fleet(11);
+    const names = fleet.startMany(40);
+    fleet.run(8000);
+    fleet.loss = 0.1;
+    for (let second = 0; second < 20; second++) {
+      fleet.run(1000);
+      names.forEach((name) =>
+        expect(fleet.get(name).known.filter(({ state }) => state === 'dead')).toEqual([]),
+      );
+    }
+  });
+
+  /** Guards the table on joining: a new instance does not wait for gossip to know the fleet. */
+  it('gives a new instance the whole table', () => {
+    const fleet = new Fleet(13);
+    const names = fleet.startMany(40);
+    fleet.run(8000);
+    fleet.start('n100', names.slice(0, 1));
+    fleet.run(400);
+    expect(fleet.live('n100')).toEqual([...names, 'n100']);
   });
 
   /** Guards the refutation: a paused instance may not count itself live when it comes back. */
@@ -125,17 +165,20 @@
     rest.forEach((name) => expect(fleet.live(name)).toEqual(rest));
   });
 
-  /** Guards healing: both sides of a cut go on alone and find each other again. */
+  /** Guards healing: both sides of a cut go on alone and find each other without any list. */
   it('joins the sides of a healed partition', () => {
-    const { fleet, names } = startFive();
-    const left = names.slice(0, 2);
-    const right = names.slice(2);
+    const fleet = new Fleet(17);
+    const names = fleet.startMany(20);
+    fleet.run(5000);
+    names.forEach((name) => fleet.get(name).setNames(new Map()));
+    const left = names.slice(0, 8);
+    const right = names.slice(8);
     fleet.setCut(left, right, true);
-    fleet.run(8000);
+    fleet.run(20_000);
     left.forEach((name) => expect(fleet.live(name)).toEqual(left));
     right.forEach((name) => expect(fleet.live(name)).toEqual(right));
     fleet.setCut(left, right, false);
-    fleet.run(8000);
+    fleet.run(3000);
     names.forEach((name) => expect(fleet.live(name)).toEqual(names));
   });
 
@@ -171,7 +214,9 @@
       const fleet = new Fleet(count);
       fleet.startMany(count);
       fleet.run(3000);
-      expect(fleet.maxUpdates).toBeLessThanOrEqual(maxPageLength);
+      expect(fleet.maxUpdates.get('ping')).toBeLessThanOrEqual(maxNews + maxExtras);
+      expect(fleet.maxUpdates.get('ack')).toBeLessThanOrEqual(maxNews + maxExtras);
+      expect(fleet.maxUpdates.get('members')).toBeLessThanOrEqual(maxPageLength + maxExtras);
       fleet.sent.clear();
       fleet.run(2000);
       return [...fleet.sent.values()].reduce((sum, sent) => sum + sent, 0) / count / 2;
--- a/packages/membership/test/fleet.ts
+++ b/packages/membership/test/fleet.ts
@@ -28,8 +28,8 @@
 
   sent = new Map<string, number>();
 
-  /** Most updates that a message carried so far. */
-  maxUpdates = 0;
+  /** Most updates that a message carried so far, by kind. */
+  readonly maxUpdates = new Map<Message['kind'], number>();
 
   readonly #random: Random;
 
@@ -117,7 +117,8 @@
 
   #post(from: string, to: string, message: Message): void {
     this.sent.set(from, (this.sent.get(from) ?? 0) + 1);
-    this.maxUpdates = Math.max(this.maxUpdates, message.updates.length);
+    const { kind, updates } = message;
+    this.maxUpdates.set(kind, Math.max(this.maxUpdates.get(kind) ?? 0, updates.length));
     if (this.cuts.has(`${from}>${to}`) || this.#random.next() < this.loss) return;
     this.#deliveries.push({ at: this.clock.now() + delayMs, from, to, message });
   }
