--- a/packages/admission/src/queue.ts
+++ b/packages/admission/src/queue.ts
@@ -120,8 +120,7 @@
     if (this.#size >= this.#findBound(call, rate)) {
       return err(this.#toRefusal('queue-full', `${this.#size} calls wait already`, waitMs));
     }
-    const queue = this.#tenants.get(call.tenant) ?? { levels: new Map(), deficit: 0, size: 0 };
-    this.#tenants.set(call.tenant, queue);
+    const queue = this.#findTenant(call.tenant);
     if (queue.size === 0) this.#turns.push(call.tenant);
     const level = queue.levels.get(call.priority);
     if (level) level.push(call);
@@ -156,6 +155,22 @@
     return undefined;
   }
 
+  /**
+   * Puts back a call that `pickNext` gave and that could not run, at the head of its level.
+   *
+   * @param call - The call.
+   */
+  restore(call: Call): void {
+    const queue = this.#findTenant(call.tenant);
+    queue.levels.set(call.priority, [call, ...(queue.levels.get(call.priority) ?? [])]);
+    queue.size += 1;
+    queue.deficit += 1;
+    this.#size += 1;
+    // Its turn was not used: it goes on.
+    this.#turns = [call.tenant, ...this.#turns.filter((tenant) => tenant !== call.tenant)];
+    this.#isTurnNew = false;
+  }
+
   /**
    * Removes the calls whose deadline can no longer be met.
    *
@@ -196,6 +211,12 @@
     return true;
   }
 
+  #findTenant(tenant: TenantId): TenantQueue<Call> {
+    const queue = this.#tenants.get(tenant) ?? { levels: new Map(), deficit: 0, size: 0 };
+    this.#tenants.set(tenant, queue);
+    return queue;
+  }
+
   /** Counts the calls that are served before a new call: its tenant's, and others' fair share. */
   #countAhead(call: Call): number {
     const own = this.#tenants.get(call.tenant);
--- a/packages/admission/test/queue.test.ts
+++ b/packages/admission/test/queue.test.ts
@@ -60,7 +60,7 @@
   /** Guards against a call that vanishes: each is picked, dropped or removed exactly once. */
   it('gives every admitted call exactly one end', () => {
     const step = fc.record({
-      kind: fc.constantFrom('offer', 'pick', 'advance', 'remove'),
+      kind: fc.constantFrom('offer', 'pick', 'restore', 'advance', 'remove'),
       tenant: fc.constantFrom('a', 'b', 'c'),
       deadlineMs: fc.integer({ min: 1, max: 50 }),
     });
@@ -78,6 +78,12 @@
           if (kind === 'offer' && queue.offer(call).isOk()) admitted.push(call);
           if (kind === 'advance') clock.advance(deadlineMs / 2);
           ended.push(...queue.dropLate().map((late) => late.call));
+          const tried = kind === 'restore' ? queue.pickNext() : undefined;
+          if (tried) {
+            queue.restore(tried);
+            expect(queue.pickNext()).toBe(tried);
+            queue.restore(tried);
+          }
           const picked = kind === 'pick' ? queue.pickNext() : undefined;
           if (picked) {
             expect(picked.deadlineAt).toBeGreaterThanOrEqual(clock.now());
--- a/packages/credits/src/pool.ts
+++ b/packages/credits/src/pool.ts
@@ -115,6 +115,12 @@
     return (this.#states.get(endpoint) ?? []).filter(({ isBusy }) => isBusy).length;
   }
 
+  /** @returns Free credits that `lend` could lend. */
+  countLendable(): number {
+    const ids = [...this.#states.keys()];
+    return ids.reduce((sum, id) => sum + this.#listLendable(id).length, 0);
+  }
+
   /**
    * Counts the credits that this instance holds, busy ones included.
    *
@@ -174,12 +180,14 @@
    * @param peer - Who asks.
    * @param wanted - Most credits to lend.
    * @param keep - Free credits that stay here.
-   * @param only - Lend credits of this endpoint alone.
+   * @param only - Lend credits of this endpoint alone, whatever its limit: the peer wants the
+   * endpoint for itself.
    * @returns The loans; the peer may use them for less than `loanMs` from now.
    */
   lend(peer: InstanceId, wanted: number, keep: number, only?: EndpointId): Loan[] {
     const ids = only === undefined ? [...this.#states.keys()] : [only];
-    const idle = ids.map((id) => this.#listFree(id).filter((state) => this.#isLendable(state)));
+    const limit = only === undefined ? undefined : Number.POSITIVE_INFINITY;
+    const idle = ids.map((id) => this.#listLendable(id, limit));
     const count = idle.reduce((sum, list) => sum + list.length, 0);
     const until = this.#clock.now() + loanMs;
     const loans: Loan[] = [];
@@ -291,8 +299,7 @@
     return { endpoint, index, home, isBusy: known?.isBusy ?? false, borrowed: known?.borrowed };
   }
 
-  #listFree(endpoint: EndpointId): State[] {
-    const limit = this.#findLimit(endpoint);
+  #listFree(endpoint: EndpointId, limit = this.#findLimit(endpoint)): State[] {
     const states = this.#states.get(endpoint) ?? [];
     return states.filter((state) => state.index < limit && !state.isBusy && this.#isHeld(state));
   }
@@ -314,9 +321,11 @@
     return borrowed !== undefined && borrowed.until > now;
   }
 
-  #isLendable({ endpoint, index, home }: State): boolean {
+  #listLendable(endpoint: EndpointId, limit?: number): State[] {
     const slots = (this.#states.get(endpoint)?.length ?? 0) / 2;
-    return home === this.#self && index < slots;
+    return this.#listFree(endpoint, limit).filter(
+      ({ home, index }) => home === this.#self && index < slots,
+    );
   }
 
   #findLent(peer: InstanceId, { endpoint, index, loan }: Loan): State | undefined {
--- a/packages/entry/src/balancer.ts
+++ b/packages/entry/src/balancer.ts
@@ -1,79 +1,216 @@
 import { EndpointPool } from '@dotterelpass/proxy';
 import type { Refusal } from '@dotterelpass/proxy';
-import type { EndpointId, EndpointSpec, Rule, Service, TenantId } from '@dotterelpass/values';
-import { err, ok } from 'neverthrow';
+import { LeastInFlight, PowerOfTwo, RandomPolicy, RoundRobin } from '@dotterelpass/selection';
+import type { Policy } from '@dotterelpass/selection';
+import type { Log, Metrics } from '@dotterelpass/telemetry';
+import type { Clock, EndpointSpec, Random, Service, ServiceId } from '@dotterelpass/values';
 import type { Result } from 'neverthrow';
+import { match } from 'ts-pattern';
+import { BaselineSource } from './baseline.js';
+import type { EndpointAccess } from './baseline.js';
+import type { Members } from './gates.js';
+import { LeavingTable } from './leaving.js';
+import { LoadExchange } from './loads.js';
+import type { ExchangeSource, PeerSender, SharedService } from './loads.js';
+import { readReport } from './report.js';
+import { SharingSource } from './sharing.js';
+import type { Slot, SlotOutcome, SlotRequest, SlotSource } from './source.js';
 
-/** What the balancer knows of a call that asks for a slot. */
-export interface SlotRequest {
-  readonly service: Service;
-  readonly rule: Rule;
-  readonly tenant: TenantId;
-  /** Monotonic time at which the answer is worthless, in milliseconds. */
-  readonly deadlineAt: number;
-  /** Endpoints that this call has tried. */
-  readonly tried: readonly EndpointId[];
-  readonly signal: AbortSignal;
-}
+export type { Slot, SlotOutcome, SlotRequest } from './source.js';
 
-/** How the use of a slot ended. */
-export interface SlotOutcome {
-  readonly result: 'answered' | 'shed' | 'failed' | 'cancelled';
-  /** Value of the `endpoint-load-metrics` header of the answer. */
-  readonly report?: string | undefined;
-}
+/** Names of the policies that the setting `--policy` accepts. */
+export const policyNames = [
+  'credits',
+  'random',
+  'round-robin',
+  'least-in-flight',
+  'power-of-two',
+] as const;
+
+export type PolicyName = (typeof policyNames)[number];
 
-/** The right to run one call on an endpoint. */
-export interface Slot {
-  readonly endpoint: EndpointSpec;
-  readonly pool: EndpointPool;
-  /** Gives the slot back; called once. */
-  release(outcome: SlotOutcome): void;
+export interface BalancerOptions {
+  readonly hub: PeerSender;
+  readonly members: Members;
+  readonly policy: PolicyName;
+  readonly failureDomain: string;
+  /** One-way delay to other failure domains, in milliseconds; 0 for those left out. */
+  readonly delays: ReadonlyMap<string, number>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Gives the services in force. */
+  listServices(): Iterable<Service>;
 }
 
+/** Time between steps that only time makes due, in milliseconds. */
+const stepMs = 5;
+
 /** Gives calls their slots. */
-export class Balancer {
+export class Balancer implements EndpointAccess, ExchangeSource {
+  readonly endpointsLeaving: LeavingTable;
+
+  readonly #options: BalancerOptions;
+
+  readonly #exchange: LoadExchange;
+
   readonly #pools = new Map<string, EndpointPool>();
 
-  readonly #inFlight = new Map<string, number>();
+  readonly #sources = new Map<ServiceId, SlotSource>();
+
+  readonly #shared = new Map<ServiceId, SharingSource>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: BalancerOptions) {
+    this.#options = options;
+    this.endpointsLeaving = new LeavingTable(options.clock);
+    const { hub, members, clock, log, metrics } = options;
+    this.#exchange = new LoadExchange(hub, members, clock, this);
+    this.endpointsLeaving.watch((address, source) => {
+      log.info('endpoint-leaving', { address, source });
+      metrics.recordEvent('endpoint-leaving');
+      if (source !== 'peer') this.#exchange.recordChange(true);
+    });
+    members.watch(() => this.#applyMembers());
+  }
+
+  /** Begins to share credits with the peers. */
+  start(): void {
+    this.#timer = setInterval(() => this.advance(), stepMs);
+    this.#timer.unref();
+  }
+
+  /** Takes the configuration in force and does what time makes due. */
+  advance(): void {
+    this.#applyServices();
+    this.#shared.forEach((source) => source.advance());
+    this.#exchange.advance();
+  }
+
+  get shared(): ReadonlyMap<ServiceId, SharedService> {
+    return this.#shared;
+  }
+
+  get leaving(): readonly string[] {
+    return this.endpointsLeaving.news;
+  }
+
+  receiveLeaving(addresses: readonly string[]): void {
+    addresses.forEach((address) => this.endpointsLeaving.add(address, 'peer'));
+  }
+
+  /** Calls that wait for a slot. */
+  get queued(): number {
+    return [...this.#shared.values()].reduce((sum, { queued }) => sum + queued, 0);
+  }
 
   /**
-   * Takes a slot on the active endpoint with the fewest calls of this instance.
+   * Waits for a slot.
    *
    * @param request - The call.
    * @returns The slot, or a refusal that says `not-run`.
    */
   async acquire(request: SlotRequest): Promise<Result<Slot, Refusal>> {
-    const active = request.service.endpoints.filter(({ state }) => state === 'active');
-    const untried = active.filter(({ id }) => !request.tried.includes(id));
-    const candidates = untried.length > 0 ? untried : active;
-    const [endpoint] = [...candidates].sort((a, b) => this.#count(a) - this.#count(b));
-    if (!endpoint) {
-      const message = `service ${request.service.name} has no active endpoint`;
-      return err({ status: 503, verdict: 'not-run', message, retryAfterSeconds: 1 });
-    }
-    this.#inFlight.set(endpoint.address, this.#count(endpoint) + 1);
-    return ok({
-      endpoint,
-      pool: this.#findPool(endpoint),
-      release: () => this.#inFlight.set(endpoint.address, this.#count(endpoint) - 1),
-    });
+    return this.#applyService(request.service).acquire(request);
   }
 
-  /** Closes all connections to endpoints. */
+  /** Closes all connections to endpoints and ends the messages to peers. */
   close(): void {
+    clearInterval(this.#timer);
     this.#pools.forEach((pool) => pool.close());
   }
 
-  #count(endpoint: EndpointSpec): number {
-    return this.#inFlight.get(endpoint.address) ?? 0;
+  isUsable({ state, address }: EndpointSpec): boolean {
+    return state === 'active' && !this.endpointsLeaving.has(address);
+  }
+
+  recordOutcome({ address }: EndpointSpec, { report, leaving }: SlotOutcome): void {
+    if (leaving) this.endpointsLeaving.add(address, 'closing');
+    else if (readReport(report)?.draining) this.endpointsLeaving.add(address, 'report');
   }
 
-  #findPool(endpoint: EndpointSpec): EndpointPool {
+  findPool(endpoint: EndpointSpec): EndpointPool {
     const known = this.#pools.get(endpoint.address);
     if (known) return known;
-    const pool = new EndpointPool(endpoint.address, endpoint.connections);
+    const pool = new EndpointPool(endpoint.address, this.#countConnections(endpoint));
     this.#pools.set(endpoint.address, pool);
     return pool;
   }
+
+  /** The endpoint's limit on connections holds for the fleet. */
+  #countConnections({ connections }: EndpointSpec): number {
+    return Math.max(1, Math.floor(connections / Math.max(1, this.#options.members.live.length)));
+  }
+
+  #applyServices(): void {
+    const services = [...this.#options.listServices()];
+    services.forEach((service) => this.#applyService(service));
+    const names = new Set(services.map(({ name }) => name));
+    [...this.#sources.keys()].forEach((name) => {
+      if (names.has(name)) return;
+      this.#sources.delete(name);
+      this.#shared.delete(name);
+    });
+  }
+
+  #applyService(service: Service): SlotSource {
+    const known = this.#sources.get(service.name);
+    if (known?.service === service) return known;
+    if (known) {
+      this.#restoreAdded(known.service, service);
+      known.setService(service);
+      return known;
+    }
+    const source = this.#makeSource(service);
+    this.#sources.set(service.name, source);
+    return source;
+  }
+
+  /** An operator's add brings a leaving endpoint back. */
+  #restoreAdded(before: Service, after: Service): void {
+    const active = new Set(before.endpoints.filter(isActive).map(({ address }) => address));
+    after.endpoints.filter(isActive).forEach(({ address }) => {
+      if (!active.has(address)) this.endpointsLeaving.remove(address);
+    });
+  }
+
+  #makeSource(service: Service): SlotSource {
+    const { random, clock, members, policy } = this.#options;
+    const makeBaseline = (chosen: Policy) => new BaselineSource(service, this, chosen);
+    return match(policy)
+      .with('random', () => makeBaseline(new RandomPolicy(random)))
+      .with('round-robin', () => makeBaseline(new RoundRobin()))
+      .with('least-in-flight', () => makeBaseline(new LeastInFlight(random)))
+      .with('power-of-two', () => makeBaseline(new PowerOfTwo(random)))
+      .with('credits', () => {
+        const source = new SharingSource(service, {
+          self: members.self,
+          access: this,
+          market: this.#exchange,
+          clock,
+          random,
+          findDelayMs: (endpoint) => this.#findDelayMs(endpoint),
+        });
+        source.setMembers(members.live);
+        this.#shared.set(service.name, source);
+        return source;
+      })
+      .exhaustive();
+  }
+
+  #findDelayMs({ failureDomain }: EndpointSpec): number {
+    if (failureDomain === this.#options.failureDomain) return 0;
+    return this.#options.delays.get(failureDomain) ?? 0;
+  }
+
+  #applyMembers(): void {
+    const { live } = this.#options.members;
+    this.#shared.forEach((source) => source.setMembers(live));
+  }
+}
+
+function isActive({ state }: EndpointSpec): boolean {
+  return state === 'active';
 }
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -127,7 +127,9 @@
     try {
       await pipeline(response, call.response);
       const report = String(response.headers['endpoint-load-metrics'] ?? '');
-      slot.release({ result: verdict === 'not-run' ? 'shed' : 'answered', report });
+      const leaving = status === 503 && response.headers.connection === 'close';
+      const result = verdict === 'not-run' ? 'shed' : 'answered';
+      slot.release({ result, status, report, leaving });
     } catch {
       // The pipeline has closed the caller's connection, so a cut answer never looks whole.
       slot.release({ result: call.gone.aborted ? 'cancelled' : 'failed' });
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -4,10 +4,10 @@
 import { CallerServer } from '@dotterelpass/proxy';
 import { requireSettings, settingSchemas } from '@dotterelpass/settings';
 import { Metrics, openLog, setLogLevel } from '@dotterelpass/telemetry';
-import { namePattern, toName } from '@dotterelpass/values';
+import { namePattern, systemClock, systemRandom, toName } from '@dotterelpass/values';
 import type { InstanceId } from '@dotterelpass/values';
 import { z } from 'zod';
-import { Balancer } from './balancer.js';
+import { Balancer, policyNames } from './balancer.js';
 import { CallPath } from './calls.js';
 import { ConfigFeed } from './config.js';
 import { OperatorServer } from './operator.js';
@@ -60,6 +60,27 @@
       describe: 'Least severe log level that is written: debug, info, warn or error',
       schema: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
     },
+    policy: {
+      describe: `How endpoints are chosen: ${policyNames.join(', ')}`,
+      schema: z.enum(policyNames).default('credits'),
+    },
+    domainDelays: {
+      describe: 'One-way delay to other failure domains in ms, like cayma=1.5,yanahuara=1.5',
+      schema: z
+        .string()
+        .regex(/^(?:[a-z0-9-]+=\d+(?:\.\d+)?(?:,|$))*$/, 'must be like cayma=1.5,yanahuara=1.5')
+        .default('')
+        .transform(
+          (text) =>
+            new Map(
+              text
+                .split(',')
+                .filter(Boolean)
+                .map((part) => part.split('='))
+                .map(([domain = '', ms = '']) => [domain, Number(ms)] as const),
+            ),
+        ),
+    },
     stopWaitMs: {
       describe: 'Time between going unready and refusing connections, in milliseconds',
       schema: settingSchemas.milliseconds.default(1000),
@@ -83,14 +104,27 @@
 const members = new ConfiguredMembers(instance, incarnation, hub);
 const platform = new PlatformClient(settings.platform);
 const config = new ConfigFeed(platform, log, metrics);
-const balancer = new Balancer();
+const balancer = new Balancer({
+  hub,
+  members,
+  policy: settings.policy,
+  failureDomain: settings.failureDomain,
+  delays: settings.domainDelays,
+  clock: systemClock,
+  random: systemRandom,
+  log,
+  metrics,
+  listServices: () => config.inForce.services,
+});
 const calls = new CallPath(config, balancer, log, metrics);
 const callers = new CallerServer((request, response) => calls.serve(request, response));
 let stopping = false;
 const operators = new OperatorServer(metrics, () => config.ready && !stopping);
 
 metrics.addGauge('calls_in_flight', 'Calls that have not been answered yet.', () => callers.active);
+metrics.addGauge('calls_queued', 'Calls that wait for a slot.', () => balancer.queued);
 
+balancer.start();
 void config.run();
 const peerPort = await hub.open(settings.peerIp, settings.peerPort);
 for (const peer of settings.peers) {
--- /dev/null
+++ b/packages/entry/src/sharing.ts
@@ -0,0 +1,450 @@
+import { AdmissionQueue } from '@dotterelpass/admission';
+import type { AdmissionLimits, AdmissionRefusal, WaitingCall } from '@dotterelpass/admission';
+import { CreditPool, countExtra } from '@dotterelpass/credits';
+import type { Credit, Loan } from '@dotterelpass/credits';
+import type { Refusal } from '@dotterelpass/proxy';
+import { CreditPolicy, Health } from '@dotterelpass/selection';
+import type { Policy } from '@dotterelpass/selection';
+import type {
+  Clock,
+  EndpointId,
+  EndpointSpec,
+  InstanceId,
+  Random,
+  Service,
+  ServiceId,
+} from '@dotterelpass/values';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { EndpointAccess } from './baseline.js';
+import type { LoanRequest, ServiceLoad, SharedService } from './loads.js';
+import { RecentMax } from './recent.js';
+import { readReport } from './report.js';
+import { SlotSource, refuseCall } from './source.js';
+import type { Slot, SlotOutcome, SlotRequest } from './source.js';
+
+/** What a shared service asks of the messages to peers. */
+export interface LoanMarket {
+  listLoads(service: ServiceId): ReadonlyMap<InstanceId, ServiceLoad>;
+  requestLoans(service: ServiceId, peer: InstanceId, request: LoanRequest): void;
+  sendReturn(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void;
+  recordChange(isUrgent: boolean): void;
+}
+
+export interface SharingOptions {
+  readonly self: InstanceId;
+  readonly access: EndpointAccess;
+  readonly market: LoanMarket;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** One-way delay from this instance to an endpoint, in milliseconds. */
+  findDelayMs(endpoint: EndpointSpec): number;
+}
+
+interface Waiter extends WaitingCall {
+  readonly request: SlotRequest;
+  readonly queuedAt: number;
+  readonly resolve: (answer: Result<Slot, Refusal>) => void;
+}
+
+/** A question for credits is repeated after this time, in milliseconds. */
+const askAgainMs = 10;
+/** Loans with a call on them are renewed when they end within this time, in milliseconds. */
+const renewWithinMs = 250;
+const renewEveryMs = 50;
+/** While no call waits, credits are borrowed below this number of free ones. */
+const lowWater = 2;
+/** Idle loans are kept this long after the last borrowing, in milliseconds. */
+const keepLoansMs = 50;
+/** Time beyond the way that a freed slot waits for its next call, in milliseconds. */
+const handlingMs = 0.3;
+/** An endpoint that a peer wants for itself gets no other calls for this long, in milliseconds. */
+const setAsideMs = 100;
+const aloneStepMs = 5;
+
+/** Holds calls until a credit is free, and shares credits with the other entry instances. */
+export class SharingSource extends SlotSource implements SharedService {
+  readonly health: Health;
+
+  readonly #options: SharingOptions;
+
+  readonly #credits: CreditPool;
+
+  readonly #policy: Policy;
+
+  readonly #queue: AdmissionQueue<Waiter>;
+
+  readonly #known = new Map<EndpointId, RecentMax>();
+
+  readonly #setAside = new Map<EndpointId, { owner: InstanceId; until: number }>();
+
+  readonly #askedAt = new Map<InstanceId, number>();
+
+  #specs: ReadonlyMap<EndpointId, EndpointSpec>;
+
+  #live: readonly InstanceId[] = [];
+
+  #ejected: ReadonlySet<EndpointId> = new Set();
+
+  /** A call that has just been taken from the queue still counts as waiting. */
+  #isServing = false;
+
+  #renewedAt = 0;
+
+  #borrowedAt = 0;
+
+  constructor(service: Service, options: SharingOptions) {
+    super(service);
+    this.#options = options;
+    this.#specs = toSpecs(service);
+    this.health = new Health(options.clock);
+    this.#policy = new CreditPolicy(options.random);
+    this.#credits = new CreditPool(service.name, options.self, options.clock, (id) =>
+      this.#findLimit(id),
+    );
+    this.#queue = new AdmissionQueue(options.clock, toLimits(service));
+  }
+
+  /** Calls that wait for a slot. */
+  get queued(): number {
+    return this.#queue.size;
+  }
+
+  override setService(service: Service): void {
+    const before = new Set(this.service.endpoints.map(({ id }) => id));
+    super.setService(service);
+    this.#specs = toSpecs(service);
+    service.endpoints.forEach(({ id }) => {
+      if (!before.delete(id)) this.health.startCold(id);
+    });
+    before.forEach((id) => this.health.remove(id));
+    this.#queue.setLimits(toLimits(service));
+    this.#credits.setMembers(service.endpoints, this.#live);
+    this.#serveQueue();
+  }
+
+  /** @param live - Live entry instances. */
+  setMembers(live: readonly InstanceId[]): void {
+    this.#live = live;
+    this.#credits.setMembers(this.service.endpoints, live);
+    this.#serveQueue();
+  }
+
+  override async acquire(request: SlotRequest): Promise<Result<Slot, Refusal>> {
+    if (!this.service.endpoints.some((endpoint) => this.#options.access.isUsable(endpoint))) {
+      return refuseCall(`service ${this.service.name} has no active endpoint`);
+    }
+    if (request.alone) return this.#acquireAlone(request);
+    const slot = this.#queue.size === 0 ? this.#findSlot(request, 0) : undefined;
+    if (slot) {
+      this.#borrowWhenLow();
+      return ok(slot);
+    }
+    return this.#wait(request);
+  }
+
+  /** Does what time makes due: renewals, returns, deadlines of waiting calls. */
+  advance(): void {
+    const now = this.#options.clock.now();
+    this.#updateEjected();
+    if (now - this.#renewedAt >= renewEveryMs) {
+      this.#renewedAt = now;
+      this.#renewLoans();
+    }
+    this.#returnLoans(now);
+    this.#serveQueue();
+  }
+
+  readLoad(): ServiceLoad {
+    const calls = Object.fromEntries(
+      this.service.endpoints
+        .map(({ id }) => [id, this.#credits.countBusy(id)] as const)
+        .filter(([, count]) => count > 0),
+    );
+    const inFlight = Object.values(calls).reduce((sum, count) => sum + count, 0);
+    const queued = this.#queue.size;
+    return { free: queued > 0 ? 0 : this.#credits.countLendable(), inFlight, queued, calls };
+  }
+
+  lend(peer: InstanceId, { wanted, queued, free, renew, only }: LoanRequest): readonly Loan[] {
+    const renewed = this.#credits.renew(peer, renew);
+    if (only !== undefined) {
+      const until = this.#options.clock.now() + setAsideMs;
+      const held = this.#setAside.get(only);
+      // Two instances that want the same endpoint for themselves would wait for each other.
+      if (held && held.owner !== peer && held.until > this.#options.clock.now()) return renewed;
+      this.#setAside.set(only, { owner: peer, until });
+      return [...renewed, ...this.#credits.lend(peer, wanted, 0, only)];
+    }
+    if (this.#queue.size > 0 || wanted === 0) return renewed;
+    const own = this.#credits.countLendable();
+    // A peer without waiting calls gets no more than brings both to the same number.
+    const most = queued > 0 ? wanted : Math.min(wanted, Math.floor((own - free) / 2));
+    return [...renewed, ...this.#credits.lend(peer, most, 0)];
+  }
+
+  offerLoans(peer: InstanceId, load: ServiceLoad): readonly Loan[] {
+    if (this.#queue.size > 0) return [];
+    const own = this.#credits.countLendable();
+    if (own === 0) return [];
+    const loads = this.#options.market.listLoads(this.service.name);
+    const all = [...loads.values()].reduce((sum, { free }) => sum + free, own);
+    return this.#credits.lend(peer, Math.ceil((load.queued * own) / all), 0);
+  }
+
+  receiveLoans(peer: InstanceId, loans: readonly Loan[], askedAt: number): void {
+    this.#credits.receiveLoans(peer, loans, askedAt);
+    this.#borrowedAt = this.#options.clock.now();
+    this.#serveQueue();
+  }
+
+  receiveReturn(peer: InstanceId, loans: readonly Loan[]): void {
+    this.#credits.receiveReturn(peer, loans);
+    this.#serveQueue();
+  }
+
+  async #wait(request: SlotRequest): Promise<Result<Slot, Refusal>> {
+    if (request.signal.aborted) return refuseCall('the caller has left');
+    this.#queue.recordSlots(this.#credits.countHeld());
+    return new Promise((resolve) => {
+      const waiter: Waiter = {
+        tenant: request.tenant,
+        priority: request.rule.priority,
+        deadlineAt: request.deadlineAt,
+        deadlineMs: request.rule.deadlineMs,
+        request,
+        queuedAt: this.#options.clock.now(),
+        resolve,
+      };
+      const offer = this.#queue.offer(waiter);
+      if (offer.isErr()) {
+        resolve(err(toRefusal(offer.error)));
+        return;
+      }
+      request.signal.addEventListener(
+        'abort',
+        () => {
+          if (this.#queue.remove(waiter)) resolve(refuseCall('the caller has left'));
+        },
+        { once: true },
+      );
+      // The first waiting call makes extra credits usable.
+      this.#serveQueue();
+    });
+  }
+
+  #serveQueue(): void {
+    if (this.#queue.size === 0) return;
+    this.#queue.dropLate().forEach(({ call, refusal }) => call.resolve(err(toRefusal(refusal))));
+    this.#isServing = true;
+    while (this.#queue.size > 0 && this.#hasFree()) {
+      const waiter = this.#queue.pickNext() as Waiter;
+      const waitedMs = this.#options.clock.now() - waiter.queuedAt;
+      const slot = this.#findSlot(waiter.request, waitedMs);
+      if (!slot) {
+        this.#queue.restore(waiter);
+        break;
+      }
+      waiter.resolve(ok(slot));
+    }
+    this.#isServing = false;
+    if (this.#queue.size > 0) {
+      this.#options.market.recordChange(true);
+      this.#borrow(this.#queue.size);
+    }
+  }
+
+  #hasFree(): boolean {
+    return this.service.endpoints.some(({ id }) => this.#credits.countFree(id) > 0);
+  }
+
+  #findSlot(request: SlotRequest, waitedMs: number): Slot | undefined {
+    const loads = this.#options.market.listLoads(this.service.name);
+    const free = this.service.endpoints
+      .filter(({ id }) => this.#credits.countFree(id) > 0)
+      .map((endpoint) => ({
+        id: endpoint.id,
+        endpoint,
+        inFlight: this.#countKnown(endpoint.id, loads),
+        expectedMs: this.health.findExpectedMs(endpoint.id, this.#options.findDelayMs(endpoint)),
+      }));
+    const untried = free.filter(({ id }) => !request.tried.includes(id));
+    const candidates = untried.length > 0 ? untried : free;
+    const picked = this.#policy.pick(candidates, this.#findPatienceMs(waitedMs));
+    const credit = picked && this.#credits.acquire(picked.id);
+    if (!picked || !credit) return undefined;
+    this.#recordKnown(picked.id);
+    return this.#makeSlot(picked.endpoint, request, [credit]);
+  }
+
+  /** Beyond this expected time it is better to wait for a faster endpoint. */
+  #findPatienceMs(waitedMs: number): number {
+    const { averageMs } = this.health;
+    const rate = this.#queue.ratePerSecond;
+    if (averageMs === 0 || rate === 0 || waitedMs > 2 * averageMs) return Number.POSITIVE_INFINITY;
+    const waitMs = ((this.#queue.size + 1) * 1000) / rate;
+    return 3 * averageMs + waitMs;
+  }
+
+  #makeSlot(endpoint: EndpointSpec, request: SlotRequest, credits: readonly Credit[]): Slot {
+    const startedAt = this.#options.clock.now();
+    return {
+      endpoint,
+      pool: this.#options.access.findPool(endpoint),
+      release: (outcome) => {
+        const ms = this.#options.clock.now() - startedAt;
+        this.#recordOutcome(endpoint, request.rule.name, ms, outcome);
+        credits.forEach((credit) => this.#credits.release(credit));
+        this.#recordKnown(endpoint.id);
+        this.#serveQueue();
+        this.#options.market.recordChange(false);
+      },
+    };
+  }
+
+  #recordOutcome(
+    endpoint: EndpointSpec,
+    className: string,
+    ms: number,
+    outcome: SlotOutcome,
+  ): void {
+    const { id } = endpoint;
+    const workMs = Math.max(0, ms - 2 * this.#options.findDelayMs(endpoint));
+    const isFailure = outcome.result === 'failed' || (outcome.status ?? 0) >= 500;
+    if (outcome.result === 'shed') this.health.recordShed(id);
+    else if (outcome.result === 'cancelled') {
+      // The caller left: the call would have taken at least this long.
+      if (workMs > this.health.averageMs) this.health.recordAnswer(id, className, workMs);
+    } else if (isFailure) this.health.recordFailure(id);
+    else {
+      this.health.recordAnswer(id, className, workMs);
+      this.#queue.recordCompletion(ms);
+    }
+    if (isFailure) this.#updateEjected();
+    const report = readReport(outcome.report);
+    if (report) this.health.recordReport(id, report.calls, this.#countKnown(id));
+    this.#options.access.recordOutcome(endpoint, outcome);
+  }
+
+  #updateEjected(): void {
+    const ids = this.service.endpoints.map(({ id }) => id);
+    this.#ejected = this.health.listEjected(ids, this.service.limits.minPoolShare);
+  }
+
+  /** Calls of the fleet on an endpoint: the most that this instance has recently known of. */
+  #countKnown(id: EndpointId, loads = this.#options.market.listLoads(this.service.name)): number {
+    const own = this.#known.get(id)?.read() ?? 0;
+    return [...loads.values()].reduce((sum, { calls }) => sum + (calls[id] ?? 0), own);
+  }
+
+  #recordKnown(id: EndpointId): void {
+    const known = this.#known.get(id) ?? new RecentMax(this.#options.clock);
+    this.#known.set(id, known);
+    known.record(this.#credits.countBusy(id));
+  }
+
+  #findLimit(id: EndpointId): number {
+    const endpoint = this.#specs.get(id);
+    if (!endpoint || !this.#options.access.isUsable(endpoint) || this.#ejected.has(id)) return 0;
+    const aside = this.#setAside.get(id);
+    if (aside && aside.until > this.#options.clock.now()) return 0;
+    const credits = this.health.countCredits(id, endpoint.slots);
+    const isWaiting = this.#isServing || this.#queue.size > 0;
+    if (credits < endpoint.slots || !isWaiting) return credits;
+    const rttMs = 2 * this.#options.findDelayMs(endpoint) + handlingMs;
+    return credits + countExtra(endpoint.slots, rttMs, this.health.averageMs);
+  }
+
+  #borrowWhenLow(): void {
+    const free = this.#credits.countLendable() + this.#credits.countIdleLoans();
+    if (free < lowWater) this.#borrow(lowWater - free);
+  }
+
+  /** Asks the peer with the most idle credits. */
+  #borrow(wanted: number): void {
+    const now = this.#options.clock.now();
+    const peers = [...this.#options.market.listLoads(this.service.name)]
+      .filter(([peer, { free }]) => free > 0 && now - (this.#askedAt.get(peer) ?? 0) >= askAgainMs)
+      .sort(([, a], [, b]) => b.free - a.free);
+    const [richest] = peers;
+    if (!richest) return;
+    const [peer, load] = richest;
+    this.#askedAt.set(peer, now);
+    this.#options.market.requestLoans(this.service.name, peer, {
+      wanted: Math.min(wanted, load.free),
+      queued: this.#queue.size,
+      free: this.#credits.countLendable(),
+      renew: [],
+    });
+  }
+
+  #renewLoans(): void {
+    const loans = this.#credits.listRenewable(renewWithinMs);
+    new Set(loans.map(({ peer }) => peer)).forEach((peer) => {
+      const renew = loans
+        .filter((loan) => loan.peer === peer)
+        .map(({ endpoint, index, loan }) => ({ endpoint, index, loan }));
+      const request = { wanted: 0, queued: this.#queue.size, free: 0, renew };
+      this.#options.market.requestLoans(this.service.name, peer, request);
+    });
+  }
+
+  #returnLoans(now: number): void {
+    if (this.#queue.size > 0 || now - this.#borrowedAt < keepLoansMs) return;
+    // Loans that are collected for a call that must run alone are idle as well.
+    if ([...this.#setAside.values()].some(({ owner }) => owner === this.#options.self)) return;
+    const keep = Math.max(0, lowWater - this.#credits.countLendable());
+    const returned = this.#credits.dropLoans(keep);
+    new Set(returned.map(({ peer }) => peer)).forEach((peer) => {
+      const loans = returned
+        .filter((loan) => loan.peer === peer)
+        .map(({ endpoint, index, loan }) => ({ endpoint, index, loan }));
+      this.#options.market.sendReturn(this.service.name, peer, loans);
+    });
+  }
+
+  /** Collects all credits of one endpoint, from peers as well, until no other call runs there. */
+  async #acquireAlone(request: SlotRequest): Promise<Result<Slot, Refusal>> {
+    const { clock, self, market, access } = this.#options;
+    const usable = this.service.endpoints.filter((endpoint) => access.isUsable(endpoint));
+    const untried = usable.filter(({ id }) => !request.tried.includes(id));
+    const [endpoint] = [...(untried.length > 0 ? untried : usable)].sort(
+      (a, b) => this.#countKnown(a.id) - this.#countKnown(b.id),
+    );
+    if (!endpoint) return refuseCall(`service ${this.service.name} has no active endpoint`);
+    try {
+      while (clock.now() < request.deadlineAt && !request.signal.aborted) {
+        this.#setAside.set(endpoint.id, { owner: self, until: clock.now() + setAsideMs });
+        const credits = this.#credits.acquireAll(endpoint.id);
+        if (credits) return ok(this.#makeSlot(endpoint, request, credits));
+        const only = endpoint.id;
+        const question = { wanted: endpoint.slots, queued: 0, free: 0, renew: [], only };
+        this.#live
+          .filter((peer) => peer !== self)
+          .forEach((peer) => market.requestLoans(this.service.name, peer, question));
+        await new Promise((resolve) => {
+          setTimeout(resolve, aloneStepMs);
+        });
+      }
+    } finally {
+      this.#setAside.delete(endpoint.id);
+    }
+    return refuseCall('no endpoint became free for a call that must run alone');
+  }
+}
+
+function toSpecs({ endpoints }: Service): ReadonlyMap<EndpointId, EndpointSpec> {
+  return new Map(endpoints.map((endpoint) => [endpoint.id, endpoint]));
+}
+
+function toLimits({ endpoints, limits, tenants }: Service): AdmissionLimits {
+  return {
+    queue: limits.queue,
+    slots: endpoints.reduce((sum, { slots }) => sum + slots, 0),
+    weights: new Map(tenants.map(({ id, weight }) => [id, weight])),
+  };
+}
+
+function toRefusal({ message, retryAfterSeconds }: AdmissionRefusal): Refusal {
+  return { status: 503, verdict: 'not-run', message, retryAfterSeconds };
+}
--- a/packages/selection/src/health.ts
+++ b/packages/selection/src/health.ts
@@ -118,6 +118,11 @@
     });
   }
 
+  /** Records that an endpoint shed a call. A fast refusal must not attract the next call. */
+  recordShed(id: EndpointId): void {
+    this.#sample(id, this.#options.maxRatio);
+  }
+
   /**
    * Records a load report. A report can only take credits away: a false report of idleness
    * attracts no calls.
--- a/packages/selection/test/selection.test.ts
+++ b/packages/selection/test/selection.test.ts
@@ -82,6 +82,7 @@
   it.each([
     { name: 'slow answer', act: (health: Health) => health.recordAnswer(a, 'short', 50), delay: 0 },
     { name: 'fast failure', act: (health: Health) => health.recordFailure(a), delay: 0 },
+    { name: 'fast refusal', act: (health: Health) => health.recordShed(a), delay: 0 },
     { name: 'long way', act: () => undefined, delay: 1.5 },
   ])('expects more of an endpoint after: $name', ({ act, delay }) => {
     const { health } = openHealth();
