--- a/packages/entry/src/balancer.ts
+++ b/packages/entry/src/balancer.ts
@@ -13,6 +13,7 @@
 import { LoadExchange } from './loads.js';
 import type { ExchangeSource, PeerSender, SharedService } from './loads.js';
 import { readReport } from './report.js';
+import type { LoadReport } from './report.js';
 import { SharingSource } from './sharing.js';
 import type { Slot, SlotOutcome, SlotRequest, SlotSource } from './source.js';
 
@@ -101,6 +102,42 @@
     addresses.forEach((address) => this.endpointsLeaving.add(address, 'peer'));
   }
 
+  /**
+   * Tells whether calls say too little of an endpoint: it is leaving, or nothing was answered
+   * there lately.
+   */
+  isIdle(service: ServiceId, { id, address }: EndpointSpec): boolean {
+    const source = this.#sources.get(service);
+    return this.endpointsLeaving.has(address) || (source?.isIdle(id) ?? true);
+  }
+
+  /**
+   * Takes the outcome of a probe.
+   *
+   * @param service - The service.
+   * @param endpoint - Its endpoint.
+   * @param report - The report; undefined when there was no answer.
+   * @param openedAt - When the connection of the probe was opened.
+   */
+  recordReport(
+    service: ServiceId,
+    endpoint: EndpointSpec,
+    report: LoadReport | undefined,
+    openedAt: number,
+  ): void {
+    this.#shared.get(service)?.recordProbe(endpoint.id, report);
+    if (report?.draining) this.endpointsLeaving.add(endpoint.address, 'report');
+    else if (report && this.endpointsLeaving.restore(endpoint.address, openedAt)) {
+      this.#options.log.info('endpoint-back', { address: endpoint.address });
+      this.#shared.get(service)?.health.startCold(endpoint.id);
+    }
+  }
+
+  /** Takes the news that the platform lists an endpoint as leaving. */
+  recordLeaving(address: string): void {
+    this.endpointsLeaving.add(address, 'platform');
+  }
+
   /** Calls that wait for a slot. */
   get queued(): number {
     return [...this.#shared.values()].reduce((sum, { queued }) => sum + queued, 0);
--- a/packages/entry/src/baseline.ts
+++ b/packages/entry/src/baseline.ts
@@ -29,6 +29,10 @@
     this.#policy = policy;
   }
 
+  override isIdle(endpoint: EndpointId): boolean {
+    return this.#count(endpoint) === 0;
+  }
+
   override async acquire(request: SlotRequest): Promise<Result<Slot, Refusal>> {
     const usable = this.service.endpoints.filter((endpoint) => this.#access.isUsable(endpoint));
     const untried = usable.filter(({ id }) => !request.tried.includes(id));
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -11,6 +11,7 @@
 import { CallPath } from './calls.js';
 import { ConfigFeed } from './config.js';
 import { OperatorServer } from './operator.js';
+import { Prober } from './probes.js';
 import { ConfiguredMembers, makeIncarnation } from './peers.js';
 
 const nameSchema = z
@@ -81,6 +82,14 @@
             ),
         ),
     },
+    fleetMaxInstances: {
+      describe: 'Entry instances among which half of the measuring budget is divided',
+      schema: z.coerce.number().int().min(1).max(10_000).default(5),
+    },
+    fleetSlot: {
+      describe: 'Place of this instance, from 0; by default its rank in the list of the platform',
+      schema: z.coerce.number().int().min(0).optional(),
+    },
     stopWaitMs: {
       describe: 'Time between going unready and refusing connections, in milliseconds',
       schema: settingSchemas.milliseconds.default(1000),
@@ -124,7 +133,21 @@
 metrics.addGauge('calls_in_flight', 'Calls that have not been answered yet.', () => callers.active);
 metrics.addGauge('calls_queued', 'Calls that wait for a slot.', () => balancer.queued);
 
+const prober = new Prober({
+  self: instance,
+  platform,
+  clock: systemClock,
+  metrics,
+  maxInstances: settings.fleetMaxInstances,
+  slot: settings.fleetSlot,
+  listServices: () => config.inForce.services,
+  isIdle: (service, endpoint) => balancer.isIdle(service, endpoint),
+  recordReport: (...probe) => balancer.recordReport(...probe),
+  recordLeaving: (address) => balancer.recordLeaving(address),
+});
+
 balancer.start();
+prober.start();
 void config.run();
 const peerPort = await hub.open(settings.peerIp, settings.peerPort);
 for (const peer of settings.peers) {
@@ -158,6 +181,7 @@
   await callers.close(settings.stopMaxMs);
   config.stop();
   hub.close();
+  prober.stop();
   balancer.close();
   platform.close();
   operators.close();
--- a/packages/entry/src/sharing.ts
+++ b/packages/entry/src/sharing.ts
@@ -20,6 +20,7 @@
 import type { LoanRequest, ServiceLoad, SharedService } from './loads.js';
 import { RecentMax } from './recent.js';
 import { readReport } from './report.js';
+import type { LoadReport } from './report.js';
 import { SlotSource, refuseCall } from './source.js';
 import type { Slot, SlotOutcome, SlotRequest } from './source.js';
 
@@ -61,6 +62,8 @@
 /** An endpoint that a peer wants for itself gets no other calls for this long, in milliseconds. */
 const setAsideMs = 100;
 const aloneStepMs = 5;
+/** An endpoint that answered no call for this long is probed, in milliseconds. */
+const idleMs = 1000;
 
 /** Holds calls until a credit is free, and shares credits with the other entry instances. */
 export class SharingSource extends SlotSource implements SharedService {
@@ -82,6 +85,8 @@
 
   #specs: ReadonlyMap<EndpointId, EndpointSpec>;
 
+  readonly #heardAt = new Map<EndpointId, number>();
+
   #live: readonly InstanceId[] = [];
 
   #ejected: ReadonlySet<EndpointId> = new Set();
@@ -130,6 +135,22 @@
     this.#serveQueue();
   }
 
+  override isIdle(endpoint: EndpointId): boolean {
+    return this.#options.clock.now() - (this.#heardAt.get(endpoint) ?? 0) > idleMs;
+  }
+
+  /**
+   * Takes the outcome of a probe.
+   *
+   * @param endpoint - The endpoint.
+   * @param report - Its report; undefined when it did not answer.
+   */
+  recordProbe(endpoint: EndpointId, report: LoadReport | undefined): void {
+    if (report) this.health.recordReport(endpoint, report.calls, this.#countKnown(endpoint));
+    else this.health.recordFailure(endpoint);
+    this.#updateEjected();
+  }
+
   override async acquire(request: SlotRequest): Promise<Result<Slot, Refusal>> {
     if (!this.service.endpoints.some((endpoint) => this.#options.access.isUsable(endpoint))) {
       return refuseCall(`service ${this.service.name} has no active endpoint`);
@@ -309,6 +330,7 @@
     outcome: SlotOutcome,
   ): void {
     const { id } = endpoint;
+    if (outcome.result !== 'cancelled') this.#heardAt.set(id, this.#options.clock.now());
     const workMs = Math.max(0, ms - 2 * this.#options.findDelayMs(endpoint));
     const isFailure = outcome.result === 'failed' || (outcome.status ?? 0) >= 500;
     if (outcome.result === 'shed') this.health.recordShed(id);
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -55,6 +55,9 @@
     this.#service = service;
   }
 
+  /** Whether no call has lately told how an endpoint does. */
+  abstract isIdle(endpoint: EndpointId): boolean;
+
   /** Takes a slot, or refuses with `not-run`. */
   abstract acquire(request: SlotRequest): Promise<Result<Slot, Refusal>>;
 }
--- a/packages/measuring/src/index.ts
+++ b/packages/measuring/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './budget.js';
