--- /dev/null
+++ b/packages/once/src/sleep.ts
@@ -0,0 +1,6 @@
+/** @param ms - Time to wait, in milliseconds. */
+export async function sleepFor(ms: number): Promise<void> {
+  await new Promise<void>((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
