Accept commands through the operator port of any entry instance

The desk checks the bearer token, accepts commands by compare-and-swap with the acceptor, settles commands whose answer is missing and answers queries. A new peer message, in-force, tells what the other instances have in force.

--- a/packages/configuration/src/acceptor.ts
+++ b/packages/configuration/src/acceptor.ts
@@ -145,8 +145,7 @@
       }
       const { document } = stored.value;
       if (document && attempt.findRevision(document) !== undefined) {
-        this.#parts.offer(document);
-        return attempt.toFound(document);
+        return this.#offer(attempt, document) ?? attempt.toFound(document);
       }
       const answer = await tryOnce(stored.value, fleet);
       if (answer) return answer;
@@ -218,8 +217,21 @@
       attempt.fail('other commands changed the service each time');
       return undefined;
     }
+    return this.#offer(attempt, document) ?? attempt.toAccepted(document);
+  }
+
+  /**
+   * Puts a stored document in force here, so that the platform is not the only one to hold it.
+   *
+   * @returns An answer when the fleet went on without the command meanwhile.
+   */
+  #offer(attempt: Attempt, document: ServiceDocument): Answer | undefined {
     this.#parts.offer(document);
-    return attempt.toAccepted(document);
+    const held = this.#parts.inForce.findDocument(attempt.service);
+    if (held && attempt.findRevision(held) !== undefined) return undefined;
+    const message = `the platform has lost what is in force; send "restore ${attempt.service}"`;
+    attempt.fail(message, true);
+    return attempt.toUnfinished();
   }
 
   /** A rejection is final only when no earlier write of the command can take effect any more. */
--- /dev/null
+++ b/packages/entry/src/documents.ts
@@ -0,0 +1,55 @@
+import { readDocument, writeDocument } from '@dotterelpass/configuration';
+import type {
+  DocumentStore,
+  ServiceDocument,
+  Stored,
+  StoreError,
+} from '@dotterelpass/configuration';
+import type { PlatformClient } from '@dotterelpass/platform';
+import type { ServiceId } from '@dotterelpass/values';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { servicePrefix } from './config.js';
+
+/** The service documents on the platform. */
+export class PlatformDocuments implements DocumentStore {
+  readonly #platform: Pick<PlatformClient, 'read' | 'compareAndSwap'>;
+
+  constructor(platform: Pick<PlatformClient, 'read' | 'compareAndSwap'>) {
+    this.#platform = platform;
+  }
+
+  async read(service: ServiceId): Promise<Result<Stored, StoreError>> {
+    const reading = await this.#platform.read(servicePrefix + service, { consistent: true });
+    if (reading.isErr()) return err({ message: reading.error.message, applied: 'no' });
+    const [entry] = reading.value.entries;
+    if (!entry) return ok({ document: undefined, modifyIndex: 0 });
+    return readDocument(entry.value)
+      .map((document) => ({ document, modifyIndex: entry.modifyIndex }))
+      .mapErr((reason) => ({ message: `the document of ${service}: ${reason}`, applied: 'no' }));
+  }
+
+  async write(
+    document: ServiceDocument,
+    modifyIndex: number,
+  ): Promise<Result<boolean, StoreError>> {
+    const name = servicePrefix + document.service.name;
+    return this.#platform.compareAndSwap(name, writeDocument(document), modifyIndex);
+  }
+
+  /**
+   * Reads the documents of all services.
+   *
+   * @returns Those that are readable.
+   */
+  async list(): Promise<Result<readonly ServiceDocument[], StoreError>> {
+    const reading = await this.#platform.read(servicePrefix, { recurse: true, consistent: true });
+    if (reading.isErr()) return err({ message: reading.error.message, applied: 'no' });
+    return ok(
+      reading.value.entries.flatMap(({ value }) => {
+        const document = readDocument(value);
+        return document.isOk() ? [document.value] : [];
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/fleet.ts
@@ -0,0 +1,99 @@
+import { makeDigest, readDocument, writeDocument } from '@dotterelpass/configuration';
+import type { FleetDocuments, ServiceDocument } from '@dotterelpass/configuration';
+import type { Body, PeerHub } from '@dotterelpass/peers';
+import type { InstanceId, ServiceId } from '@dotterelpass/values';
+import { z } from 'zod';
+import type { ConfigFeed } from './config.js';
+import type { Members } from './gates.js';
+
+const messageType = 'in-force';
+
+/** An operator waits for this, and an instance that answers later is shown as unreachable. */
+const answerTimeoutMs = 500;
+
+const stateSchema = z.object({
+  ready: z.boolean(),
+  revisions: z.record(z.string(), z.number()),
+  wentBack: z.array(z.string()),
+});
+
+/** What one entry instance has in force. */
+export interface InstanceState {
+  readonly instance: InstanceId;
+  readonly state: 'live' | 'unreachable';
+  /** Absent, like the other fields, when the instance gave no answer. */
+  readonly ready?: boolean;
+  readonly revisions?: Readonly<Record<string, number>>;
+  /** Services whose accepted configuration the platform lost, as the instance sees it. */
+  readonly wentBack?: readonly string[];
+}
+
+/** Asks the other entry instances what they have in force. */
+export class Fleet implements FleetDocuments {
+  readonly #hub: PeerHub;
+
+  readonly #members: Members;
+
+  readonly #config: ConfigFeed;
+
+  constructor(hub: PeerHub, members: Members, config: ConfigFeed) {
+    this.#hub = hub;
+    this.#members = members;
+    this.#config = config;
+    hub.handle(messageType, (body) => this.#answer(body));
+  }
+
+  /**
+   * Asks the live peers for the document of a service.
+   *
+   * @param service - The service.
+   * @returns The documents that differ from the one in force here.
+   */
+  async list(service: ServiceId): Promise<readonly ServiceDocument[]> {
+    const own = this.#config.inForce.findDocument(service);
+    const body = { service, hash: own ? makeDigest(own).hash : '' };
+    const peers = this.#members.live.filter((instance) => instance !== this.#members.self);
+    const answers = await Promise.all(
+      peers.map((peer) => this.#hub.request(peer, messageType, body, answerTimeoutMs)),
+    );
+    return answers.flatMap((answer) => {
+      if (answer.isErr() || typeof answer.value.document !== 'string') return [];
+      const document = readDocument(Buffer.from(answer.value.document));
+      return document.isOk() && document.value.service.name === service ? [document.value] : [];
+    });
+  }
+
+  /** @returns The state of all known entry instances, sorted by name. */
+  async listInstances(): Promise<readonly InstanceState[]> {
+    const { self, live } = this.#members;
+    const peers = new Set([...live, ...this.#hub.known.keys()]);
+    peers.delete(self);
+    const others = await Promise.all([...peers].map((peer) => this.#ask(peer)));
+    const own: InstanceState = { instance: self, state: 'live', ...this.#describe() };
+    return [own, ...others].sort((a, b) => (a.instance < b.instance ? -1 : 1));
+  }
+
+  async #ask(instance: InstanceId): Promise<InstanceState> {
+    const answer = await this.#hub.request(instance, messageType, {}, answerTimeoutMs);
+    const state = answer.isOk() ? stateSchema.safeParse(answer.value) : undefined;
+    if (!state?.success) return { instance, state: 'unreachable' };
+    return { instance, state: 'live', ...state.data };
+  }
+
+  #answer({ service, hash }: Body): Body {
+    if (typeof service !== 'string') return { ...this.#describe() };
+    const document = this.#config.inForce.findDocument(service as ServiceId);
+    if (!document || makeDigest(document).hash === hash) return {};
+    return { document: writeDocument(document).toString() };
+  }
+
+  #describe(): z.infer<typeof stateSchema> {
+    return {
+      ready: this.#config.ready,
+      revisions: Object.fromEntries(
+        this.#config.digests.map(({ service, revision }) => [service, revision]),
+      ),
+      wentBack: this.#config.wentBack.map(({ service }) => service),
+    };
+  }
+}
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -10,6 +10,9 @@
 import { Balancer } from './balancer.js';
 import { CallPath } from './calls.js';
 import { ConfigFeed } from './config.js';
+import { OperatorDesk } from './desk.js';
+import { PlatformDocuments } from './documents.js';
+import { Fleet } from './fleet.js';
 import { OperatorServer } from './operator.js';
 import { ConfiguredMembers, makeIncarnation } from './peers.js';
 
@@ -33,6 +36,11 @@
       schema: settingSchemas.ip.default('127.0.0.1'),
     },
     operatorPort: { describe: 'Port for operators', schema: settingSchemas.port.default(9090) },
+    operatorToken: {
+      describe: 'Token that commands and queries need; without it both are refused',
+      schema: z.string().min(16, 'must have 16 characters or more').optional(),
+      secret: true,
+    },
     peerIp: { describe: 'IP address for peers', schema: settingSchemas.ip.default('127.0.0.1') },
     peerPort: { describe: 'Port for peers', schema: settingSchemas.port.default(7070) },
     peerKey: {
@@ -87,7 +95,15 @@
 const calls = new CallPath(config, balancer, log, metrics);
 const callers = new CallerServer((request, response) => calls.serve(request, response));
 let stopping = false;
-const operators = new OperatorServer(metrics, () => config.ready && !stopping);
+const desk = new OperatorDesk({
+  token: settings.operatorToken,
+  config,
+  documents: new PlatformDocuments(platform),
+  fleet: new Fleet(hub, members, config),
+  log,
+  metrics,
+});
+const operators = new OperatorServer(metrics, () => config.ready && !stopping, desk);
 
 metrics.addGauge('calls_in_flight', 'Calls that have not been answered yet.', () => callers.active);
 
--- a/packages/entry/src/operator.ts
+++ b/packages/entry/src/operator.ts
@@ -2,8 +2,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Metrics } from '@dotterelpass/telemetry';
+import type { OperatorDesk } from './desk.js';
 
-/** The HTTP server for operators: metrics and health. */
+/** A client that has not sent its whole request by then is cut off. */
+const requestTimeoutMs = 10_000;
+
+/** The HTTP server for operators: metrics and health, commands and queries. */
 export class OperatorServer {
   readonly #server: Server;
 
@@ -11,16 +15,21 @@
 
   readonly #isReady: () => boolean;
 
+  readonly #desk: OperatorDesk | undefined;
+
   /**
    * @param metrics - What `/metrics` shows.
    * @param isReady - What `/readyz` says.
+   * @param desk - What serves the paths below `/v1/`, which need the operators' token.
    */
-  constructor(metrics: Metrics, isReady: () => boolean) {
+  constructor(metrics: Metrics, isReady: () => boolean, desk?: OperatorDesk) {
     this.#metrics = metrics;
     this.#isReady = isReady;
+    this.#desk = desk;
     this.#server = createServer((request, response) => {
       this.#serve(request, response).catch(() => response.destroy());
     });
+    this.#server.requestTimeout = requestTimeoutMs;
   }
 
   /**
@@ -52,6 +61,8 @@
     } else if (path === '/readyz') {
       const ready = this.#isReady();
       response.writeHead(ready ? 200 : 503).end(ready ? 'ready\n' : 'not ready\n');
+    } else if (this.#desk && path?.startsWith('/v1/')) {
+      await this.#desk.serve(request, response);
     } else {
       response.writeHead(404).end('unknown path\n');
     }
