--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -246,6 +246,7 @@
   const isShed = headers[outcomeHeader] === 'not-run';
   return {
     result: isShed ? 'shed' : 'answered',
+    status: statusCode,
     report: typeof report === 'string' ? report : undefined,
     leaving: statusCode === 503 && headers.connection?.toLowerCase() === 'close',
   };
--- a/packages/entry/test/calls.test.ts
+++ b/packages/entry/test/calls.test.ts
@@ -341,6 +341,6 @@
     const answer = `HTTP/1.1 503 X\r\nConnection: close\r\nX-Request-Outcome: not-run\r\nEndpoint-Load-Metrics: ${report}\r\nContent-Length: 0\r\n\r\n`;
     const { port, outcomes } = await open([raw(answer)]);
     await exchange(port, [get], (got) => got.endsWith('}'));
-    expect(outcomes).toEqual([{ result: 'shed', leaving: true, report }]);
+    expect(outcomes).toEqual([{ result: 'shed', status: 503, leaving: true, report }]);
   });
 });
