--- a/packages/entry/src/balancer.ts
+++ b/packages/entry/src/balancer.ts
@@ -45,6 +45,12 @@
   listServices(): Iterable<Service>;
 }
 
+/** Asks an endpoint for its load, within the budget for measuring. */
+export type ReportSource = (
+  service: Service,
+  endpoint: EndpointSpec,
+) => Promise<LoadReport | undefined>;
+
 /** Time between steps that only time makes due, in milliseconds. */
 const stepMs = 5;
 
@@ -62,6 +68,8 @@
 
   readonly #shared = new Map<ServiceId, SharingSource>();
 
+  #requestReport: ReportSource | undefined;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: BalancerOptions) {
@@ -77,6 +85,11 @@
     members.watch(() => this.#applyMembers());
   }
 
+  /** @param source - Where a connection that may be silent is judged by. */
+  setReportSource(source: ReportSource): void {
+    this.#requestReport = source;
+  }
+
   /** Begins to share credits with the peers. */
   start(): void {
     this.#timer = setInterval(() => this.advance(), stepMs);
@@ -171,11 +184,21 @@
   findPool(endpoint: EndpointSpec): EndpointPool {
     const known = this.#pools.get(endpoint.address);
     if (known) return known;
-    const pool = new EndpointPool(endpoint.address, this.#countConnections(endpoint));
+    const pool = new EndpointPool(endpoint.address, this.#countConnections(endpoint), {
+      warmConnections: endpoint.slots,
+      readCalls: () => this.#readCalls(endpoint),
+    });
     this.#pools.set(endpoint.address, pool);
     return pool;
   }
 
+  async #readCalls(endpoint: EndpointSpec): Promise<number | undefined> {
+    const service = [...this.#options.listServices()].find(({ endpoints }) =>
+      endpoints.some(({ address }) => address === endpoint.address),
+    );
+    return service && (await this.#requestReport?.(service, endpoint))?.calls;
+  }
+
   /** The endpoint's limit on connections holds for the fleet. */
   #countConnections({ connections }: EndpointSpec): number {
     return Math.max(1, Math.floor(connections / Math.max(1, this.#options.members.live.length)));
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -20,6 +20,8 @@
   readonly suspects?: SuspectGate | undefined;
   /** Whether a `once` call needs an `Idempotency-Key`. */
   readonly requireKey?: boolean;
+  /** Bounds retries and hedges. */
+  readonly budget?: RetryBudget;
 }
 
 const ticketPath = '/.well-known/dotterelpass/ticket';
@@ -72,7 +74,7 @@
     this.#attempts = new Attempts({
       balancer,
       policy: new RetryPolicy(systemRandom),
-      budget: new RetryBudget(systemClock),
+      budget: options.budget ?? new RetryBudget(systemClock),
       hedger: new Hedger(systemClock),
       flights: new Flights(options.suspects),
       suspects: options.suspects,
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -162,6 +162,7 @@
   recordLeaving: (address) => balancer.recordLeaving(address),
 });
 
+balancer.setReportSource((service, endpoint) => prober.requestReport(service, endpoint));
 balancer.start();
 prober.start();
 void config.run();
--- a/packages/entry/src/sharing.ts
+++ b/packages/entry/src/sharing.ts
@@ -290,7 +290,10 @@
         expectedMs: this.health.findExpectedMs(endpoint.id, this.#options.findDelayMs(endpoint)),
       }));
     const untried = free.filter(({ id }) => !request.tried.includes(id));
-    const candidates = untried.length > 0 ? untried : free;
+    const apart = untried.filter(
+      ({ endpoint }) => !request.avoidDomains?.includes(endpoint.failureDomain),
+    );
+    const candidates = [apart, untried, free].find(({ length }) => length > 0) ?? free;
     const picked = this.#policy.pick(candidates, this.#findPatienceMs(waitedMs));
     const credit = picked && this.#credits.acquire(picked.id);
     if (!picked || !credit) return undefined;
--- a/packages/entry/test/path.ts
+++ b/packages/entry/test/path.ts
@@ -4,8 +4,9 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { InForce } from '@dotterelpass/configuration';
 import { CallerServer, EndpointPool } from '@dotterelpass/proxy';
+import { RetryBudget } from '@dotterelpass/retries';
 import { Metrics, openLog } from '@dotterelpass/telemetry';
-import { serviceSchema } from '@dotterelpass/values';
+import { serviceSchema, systemClock } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import { CallPath } from '../src/index.js';
 import type { CallOptions, SlotOutcome, SlotRequest } from '../src/index.js';
@@ -30,6 +31,7 @@
   endpoints: readonly FakeEndpoint[],
   rule: Record<string, unknown> = {},
   options: CallOptions = {},
+  earlierCalls = 0,
 ): Promise<Path> {
   const servers = await Promise.all(endpoints.map(openEndpoint));
   const service = serviceSchema.parse({
@@ -65,7 +67,11 @@
       return ok({ endpoint, pool: pools.get(endpoint.address) as EndpointPool, release });
     },
   };
-  const calls = new CallPath({ inForce }, balancer, openLog('test'), new Metrics(), options);
+  const budget = new RetryBudget(systemClock);
+  // Each earlier call allows a tenth of a retry.
+  for (let count = 0; count < earlierCalls; count++) budget.recordCall(['s', 's/default']);
+  const log = openLog('test');
+  const calls = new CallPath({ inForce }, balancer, log, new Metrics(), { ...options, budget });
   const callers = new CallerServer((call) => calls.serve(call));
   const port = await callers.open('127.0.0.1', 0);
   return {
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -41,6 +41,11 @@
 /** Limits of a pool; all have defaults. */
 export interface PoolLimits extends ConnectionLimits, SilenceLimits {
   readonly connectMs: number;
+  /**
+   * Reads how many calls the endpoint has, on a new connection and within the budget for
+   * measuring; undefined when it is not told. By default the endpoint is asked at any time.
+   */
+  readonly readCalls?: () => Promise<number | undefined>;
 }
 
 const defaultLimits: PoolLimits = {
@@ -51,7 +56,6 @@
   connectMs: 1000,
   silenceMs: 1000,
   evidenceMs: 250,
-  admitProbe: () => true,
 };
 
 const maxReportLength = 16 * 1024;
@@ -82,7 +86,7 @@
     this.#port = Number(port);
     this.#limits = { ...defaultLimits, ...limits, maxConnections };
     this.#agent = new ConnectionAgent(host, this.#port, this.#limits);
-    this.#silence = new SilenceWatch(() => this.#readLoad(), this.#limits);
+    this.#silence = new SilenceWatch(limits.readCalls ?? (() => this.#readLoad()), this.#limits);
   }
 
   /** Open connections. */
--- a/packages/proxy/src/silence.ts
+++ b/packages/proxy/src/silence.ts
@@ -6,8 +6,6 @@
   readonly silenceMs: number;
   /** Time between the two questions. */
   readonly evidenceMs: number;
-  /** Whether the endpoint may be asked now; false costs nothing and is tried again. */
-  readonly admitProbe: () => boolean;
 }
 
 /** A request without a whole answer. */
@@ -63,8 +61,8 @@
 
   /**
    * @param readCalls - Asks the endpoint on a new connection how many calls it has, running
-   * and queued; undefined when it does not tell.
-   * @param limits - Times and budget.
+   * and queued; undefined when it does not tell or the budget for measuring forbids to ask.
+   * @param limits - Times.
    */
   constructor(readCalls: () => Promise<number | undefined>, limits: SilenceLimits) {
     this.#readCalls = readCalls;
@@ -97,7 +95,7 @@
     const now = performance.now();
     this.#outstanding.forEach((entry) => entry.readBytes());
     if (this.#checking || now - this.#checkedAt < this.#limits.silenceMs) return;
-    if (this.#findSilent().length === 0 || !this.#limits.admitProbe()) return;
+    if (this.#findSilent().length === 0) return;
     this.#checking = true;
     this.#checkedAt = now;
     void this.#check().finally(() => {
@@ -108,26 +106,39 @@
   async #check(): Promise<void> {
     // Younger requests may be on their way still; these must be known to the endpoint.
     const sent = this.#findSent();
-    let missing = await this.#countMissing(sent);
-    if (missing <= 0) return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, this.#limits.evidenceMs);
-    });
-    missing = Math.min(missing, await this.#countMissing(sent));
+    const first = await this.#countMissing(sent);
+    if (first === undefined || first <= 0) return;
+    const second = await this.#waitForMissing(sent);
+    const missing = Math.max(0, Math.min(first, second));
     // No more connections are closed than the evidence covers: others may be slow and honest.
     const silent = this.#findSilent().filter((entry) => sent.includes(entry));
     silent.sort((a, b) => a.byteAt - b.byteAt);
-    for (const { outgoing } of silent.slice(0, Math.max(0, missing))) {
+    for (const { outgoing } of silent.slice(0, missing)) {
       outgoing.destroy(
         new Error('the connection is silent and the endpoint does not know the call'),
       );
     }
   }
 
-  async #countMissing(sent: readonly Outstanding[]): Promise<number> {
+  /** Asks again, as often as it takes to get an answer while the calls last. */
+  async #waitForMissing(sent: readonly Outstanding[]): Promise<number> {
+    while (this.#countOpen(sent) > 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, this.#limits.evidenceMs);
+      });
+      const missing = await this.#countMissing(sent);
+      if (missing !== undefined) return missing;
+    }
+    return 0;
+  }
+
+  async #countMissing(sent: readonly Outstanding[]): Promise<number | undefined> {
     const reported = await this.#readCalls();
-    if (reported === undefined) return 0;
-    return sent.filter((entry) => this.#outstanding.has(entry)).length - reported;
+    return reported === undefined ? undefined : this.#countOpen(sent) - reported;
+  }
+
+  #countOpen(sent: readonly Outstanding[]): number {
+    return sent.filter((entry) => this.#outstanding.has(entry)).length;
   }
 
   #findSent(): Outstanding[] {
--- a/packages/proxy/test/pool.test.ts
+++ b/packages/proxy/test/pool.test.ts
@@ -203,9 +203,9 @@
     const limits = { silenceMs: 100, evidenceMs: 30 };
 
     /** Reports `calls` in turn; `/` is answered after `ms`, or never. */
-    function openReporting(calls: number[], ms: number | undefined, admitProbe = () => true) {
+    function openReporting(calls: number[], ms?: number, more: Partial<PoolLimits> = {}) {
       let asked = 0;
-      return openNumbered({ ...limits, admitProbe }, (request, response) => {
+      return openNumbered({ ...limits, ...more }, (request, response) => {
         if (request.url === '/.well-known/load') {
           const inUse = calls[Math.min(asked, calls.length - 1)];
           asked += 1;
@@ -224,9 +224,22 @@
       expect(await read(pool, { timeoutMs: 3000 })).toBe(expected);
     });
 
-    it('asks nothing without leave of the probe budget', async () => {
-      const { pool, sockets } = await openReporting([0], 500, () => false);
-      expect(await read(pool, { timeoutMs: 3000 })).toBe('honest');
+    it.each([
+      { name: 'nothing without leave', leaves: [false], expected: 'honest' },
+      {
+        name: 'again until it has leave',
+        leaves: [true, false, false, true],
+        expected: 'reset may-have-run',
+      },
+    ])('asks $name of the probe budget', async ({ leaves, expected }) => {
+      let asked = 0;
+      const readCalls = async () => {
+        asked += 1;
+        return leaves[Math.min(asked, leaves.length) - 1] ? 0 : undefined;
+      };
+      const { pool, sockets } = await openReporting([0], 700, { readCalls });
+      expect(await read(pool, { timeoutMs: 3000 })).toBe(expected);
+      expect(asked).toBeGreaterThan(1);
       expect(sockets).toHaveLength(1);
     });
 
