Stop without cutting a call, and drop idle connections with a silent one

During a stop the last answer of each connection asks its caller to close it, also when its call began before; an answer that did not ask leaves 200 ms for a next request. A once call whose caller has left is awaited. After one connection was found silent, idle ones were used on; an honest call was lost that way.

--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -1,8 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { readBody } from '@dotterelpass/proxy';
 import type { IncomingCall, Refusal } from '@dotterelpass/proxy';
 import { Hedger, RetryBudget, RetryPolicy } from '@dotterelpass/retries';
 import type { Log, Metrics } from '@dotterelpass/telemetry';
-import { findRule, findService, systemClock, systemRandom } from '@dotterelpass/values';
+import { findRule, findService, ruleSchema, systemClock, systemRandom } from '@dotterelpass/values';
 import type { Rule, Service } from '@dotterelpass/values';
 import { serveAnswer, serveRefusal, serveReplay } from './answers.js';
 import type { Ending } from './answers.js';
@@ -24,6 +25,8 @@
   readonly budget?: RetryBudget;
 }
 
+const defaultDeadlineMs = ruleSchema.parse({ name: 'default', repeat: 'once' }).deadlineMs;
+const endStepMs = 10;
 const ticketPath = '/.well-known/dotterelpass/ticket';
 /** Visible ASCII of at most 255 characters; a pair of quotes around it is no part of the key. */
 const keyForm = /^(?:"([\x21\x23-\x7e]{1,253})"|([\x21\x23-\x7e]{1,255}))$/;
@@ -87,10 +90,23 @@
     return this.#active;
   }
 
-  /** Longest deadline of the rules in force, in milliseconds; 0 without rules. */
+  /** Longest deadline of the rules in force, in milliseconds, with the default of calls without. */
   get longestDeadlineMs(): number {
     const rules = [...this.#config.inForce.services].flatMap(({ rules: list }) => list);
-    return rules.reduce((longest, { deadlineMs }) => Math.max(longest, deadlineMs), 0);
+    return rules.reduce(
+      (longest, { deadlineMs }) => Math.max(longest, deadlineMs),
+      defaultDeadlineMs,
+    );
+  }
+
+  /**
+   * Waits until no call is being served.
+   *
+   * @param maxMs - Longest wait, in milliseconds.
+   */
+  async waitForEnd(maxMs: number): Promise<void> {
+    const end = performance.now() + maxMs;
+    while (this.#active > 0 && performance.now() < end) await sleep(endStepMs);
   }
 
   /**
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -190,12 +190,17 @@
 
 async function stop(): Promise<void> {
   stopping = true;
-  log.info('stopping', { active: callers.active });
+  log.info('stopping', { active: calls.active });
+  callers.startDraining();
   // The platform's balancer needs this time to see that the instance is not ready.
   await new Promise((resolve) => {
     setTimeout(resolve, settings.stopWaitMs);
   });
-  await callers.close(settings.stopMaxMs);
+  const maxMs = Math.min(settings.stopMaxMs, calls.longestDeadlineMs);
+  const closeBy = performance.now() + maxMs;
+  await callers.close(maxMs);
+  // A `once` call whose caller has left goes on, so that its result can be settled.
+  await calls.waitForEnd(closeBy - performance.now());
   config.stop();
   hub.close();
   prober.stop();
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -123,6 +123,11 @@
     }
   }
 
+  /** Closes all connections without a request. */
+  dropIdle(): void {
+    while (this.#idle.length > 0) this.#dropOldest();
+  }
+
   /** @param request - A request that was destroyed, perhaps before it had a connection. */
   dropWaiting(request: ClientRequest): void {
     const index = this.#waiting.findIndex((waiting) => waiting === request);
@@ -181,10 +186,10 @@
     this.#idle.push(connection);
     if (this.#sweep) return;
     const everyMs = Math.max(10, this.#limits.idleMs / 15);
-    this.#sweep = setInterval(() => this.#dropIdle(), everyMs).unref();
+    this.#sweep = setInterval(() => this.#sweepIdle(), everyMs).unref();
   }
 
-  #dropIdle(): void {
+  #sweepIdle(): void {
     const oldest = performance.now() - this.#limits.idleMs;
     while (this.#idle[0] && this.#idle[0].idleSince < oldest) this.#dropOldest();
     if (this.#idle.length > 0) return;
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -32,6 +32,8 @@
   readonly idleMs: number;
   /** Time to take in the rest of a body after its call has been answered. */
   readonly lingerMs: number;
+  /** Time for a next request after an answer that did not ask to close, during a stop. */
+  readonly closeMs: number;
   readonly maxHeaderBytes: number;
 }
 
@@ -39,6 +41,7 @@
   headersTimeoutMs: 10_000,
   idleMs: 60_000,
   lingerMs: 2000,
+  closeMs: 200,
   maxHeaderBytes: 16 * 1024,
 };
 
@@ -125,9 +128,13 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
-  /** From now on answers ask callers to close their connections. */
+  /** From now on the last answer of each connection asks its caller to close it. */
   startDraining(): void {
     this.#draining = true;
+    this.#connections.forEach(({ calls }) => {
+      const last = [...calls.keys()].at(-1);
+      if (last && !last.headersSent) last.shouldKeepAlive = false;
+    });
   }
 
   /**
@@ -136,7 +143,7 @@
    * @param maxMs - Connections still open after this time are cut.
    */
   async close(maxMs: number): Promise<void> {
-    this.#draining = true;
+    this.startDraining();
     this.#closing = true;
     const closed = new Promise<void>((resolve) => {
       this.#server.close(() => resolve());
@@ -165,6 +172,8 @@
     const { socket } = request;
     const connection = this.#connections.get(socket);
     if (!connection) return;
+    // Node drops what was pipelined behind an answer that closes.
+    if (this.#draining) connection.calls.forEach((_gone, earlier) => keepAlive(earlier));
     const gone = new AbortController();
     connection.calls.set(response, gone);
     this.#active += 1;
@@ -195,7 +204,15 @@
     if (!response.req.complete) this.#endBody(socket, response.req);
     if (connection.calls.size > 0) return;
     if (connection.lastAnswer !== undefined) socket.end(connection.lastAnswer);
-    else if (this.#closing) socket.end();
+    else if (this.#closing) this.#endSoon(socket, connection);
+  }
+
+  /** A caller that was not asked to close may have sent its next request already. */
+  #endSoon(socket: Socket, { calls }: Connection): void {
+    const timer = setTimeout(() => {
+      if (calls.size === 0) socket.end();
+    }, this.#limits.closeMs);
+    socket.once('close', () => clearTimeout(timer));
   }
 
   /** Takes in the rest of a body: closing at once would reset the answer on its way. */
@@ -223,6 +240,10 @@
   }
 }
 
+function keepAlive(response: ServerResponse): void {
+  if (!response.headersSent) response.shouldKeepAlive = true;
+}
+
 function toRefusal(error: NodeJS.ErrnoException): Refusal {
   const verdict = 'not-run';
   if (error.code === 'HPE_HEADER_OVERFLOW') {
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -86,7 +86,12 @@
     this.#port = Number(port);
     this.#limits = { ...defaultLimits, ...limits, maxConnections };
     this.#agent = new ConnectionAgent(host, this.#port, this.#limits);
-    this.#silence = new SilenceWatch(limits.readCalls ?? (() => this.#readLoad()), this.#limits);
+    this.#silence = new SilenceWatch(
+      limits.readCalls ?? (() => this.#readLoad()),
+      this.#limits,
+      // What silenced one connection may have silenced the idle ones, too.
+      () => this.#agent.dropIdle(),
+    );
   }
 
   /** Open connections. */
--- a/packages/proxy/src/silence.ts
+++ b/packages/proxy/src/silence.ts
@@ -51,6 +51,8 @@
 
   readonly #limits: SilenceLimits;
 
+  readonly #onSilent: () => void;
+
   #outstanding = new Set<Outstanding>();
 
   #timer: NodeJS.Timeout | undefined;
@@ -63,10 +65,16 @@
    * @param readCalls - Asks the endpoint on a new connection how many calls it has, running
    * and queued; undefined when it does not tell or the budget for measuring forbids to ask.
    * @param limits - Times.
+   * @param onSilent - Called when a connection was found silent and closed.
    */
-  constructor(readCalls: () => Promise<number | undefined>, limits: SilenceLimits) {
+  constructor(
+    readCalls: () => Promise<number | undefined>,
+    limits: SilenceLimits,
+    onSilent: () => void,
+  ) {
     this.#readCalls = readCalls;
     this.#limits = limits;
+    this.#onSilent = onSilent;
   }
 
   /** @param outgoing - A request whose connection is watched until it closes. */
@@ -113,7 +121,9 @@
     // No more connections are closed than the evidence covers: others may be slow and honest.
     const silent = this.#findSilent().filter((entry) => sent.includes(entry));
     silent.sort((a, b) => a.byteAt - b.byteAt);
-    for (const { outgoing } of silent.slice(0, missing)) {
+    const lost = silent.slice(0, missing);
+    if (lost.length > 0) this.#onSilent();
+    for (const { outgoing } of lost) {
       outgoing.destroy(
         new Error('the connection is silent and the endpoint does not know the call'),
       );
--- a/packages/proxy/test/caller.test.ts
+++ b/packages/proxy/test/caller.test.ts
@@ -263,10 +263,15 @@
     // The second request comes after the first was answered without `Connection: close`.
     const busy = exchange(own, [get, 200, get]);
     const idle = exchange(own, [get]);
+    const pipelined = exchange(own, [200, get, 20, get]);
     await new Promise((resolve) => {
       setTimeout(resolve, 250);
     });
+    draining.startDraining();
     await draining.close(5000);
+    const together = (await pipelined).text;
+    expect(together.match(/whole/g)).toHaveLength(2);
+    expect(together).toMatch(/^[^]*keep-alive[^]*whole[^]*Connection: close[^]*whole$/);
     expect((await busy).text.match(/whole/g)).toHaveLength(2);
     expect((await busy).end).toBe('end');
     expect((await idle).end).toBe('end');
--- a/packages/proxy/test/pool.test.ts
+++ b/packages/proxy/test/pool.test.ts
@@ -243,6 +243,17 @@
       expect(sockets).toHaveLength(1);
     });
 
+    // Guards against sending the next call on a connection that went silent while it was idle.
+    it('drops the idle connections with a silent one', async () => {
+      const { pool } = await openReporting([0], undefined, { warmConnections: 3 });
+      await read(pool, { path: '/.well-known/load' });
+      const pending = read(pool);
+      await wait(20);
+      expect(pool.size).toBe(2);
+      await pending;
+      expect(pool.size).toBe(0);
+    });
+
     it('cuts no more connections than the reports miss', async () => {
       const { pool } = await openReporting([1], 450);
       const ends = await Promise.all([read(pool), read(pool)]);
