--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -134,7 +134,7 @@
   listServices: () => config.inForce.services,
 });
 const calls = new CallPath(config, balancer, log, metrics);
-const callers = new CallerServer((request, response) => calls.serve(request, response));
+const callers = new CallerServer((call) => calls.serve(call));
 let stopping = false;
 const desk = new OperatorDesk({
   token: settings.operatorToken,
@@ -162,6 +162,7 @@
   recordLeaving: (address) => balancer.recordLeaving(address),
 });
 
+balancer.setReportSource((service, endpoint) => prober.requestReport(service, endpoint));
 balancer.start();
 prober.start();
 void config.run();
