Send a freed credit at once to a peer that has calls waiting

The waiting peer learned of free credits from the next loads message, up to 25 ms later. Peers now hear soon only when calls begin or cease to wait, or free credits do, instead of every 5 ms while calls wait.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,10 +2,11 @@
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { pathScenario } from './path.js';
+import { tailScenario } from './tail.js';
 import { isMet, writeFigures } from './scenario.js';
 import type { Scenario } from './scenario.js';
 
-const scenarios: readonly Scenario[] = [pathScenario];
+const scenarios: readonly Scenario[] = [pathScenario, tailScenario];
 
 const usage = `usage: npm run bench -- SCENARIO [--seed N] [--runs N] [--json FILE]
 
--- a/packages/entry/src/loads.ts
+++ b/packages/entry/src/loads.ts
@@ -82,6 +82,8 @@
 
 interface Heard extends ServiceLoad {
   readonly at: number;
+  /** When the peer sent it, by the peer's clock. */
+  readonly sentAt: number;
 }
 
 /** The part of the links to peers that the exchange uses. */
@@ -155,6 +157,12 @@
     this.#hub.send(peer, 'borrow', { service, at: this.#clock.now(), ...request });
   }
 
+  /** Lends unasked; the peer counts the loans from its last `loads` message. */
+  sendLoans(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void {
+    const heard = this.#heard.get(service)?.get(peer);
+    if (heard) this.#sendLoans(peer, service, heard.sentAt, loans);
+  }
+
   /** Gives loans back. */
   sendReturn(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void {
     this.#hub.send(peer, 'return', { service, loans });
@@ -187,7 +195,7 @@
       const name = key as ServiceId;
       const heard = this.#heard.get(name) ?? new Map<InstanceId, Heard>();
       this.#heard.set(name, heard);
-      heard.set(peer, { ...load, at: this.#clock.now() });
+      heard.set(peer, { ...load, at: this.#clock.now(), sentAt: message.at });
       const loans =
         load.queued > 0 ? (this.#source.shared.get(name)?.offerLoans(peer, load) ?? []) : [];
       this.#sendLoans(peer, name, message.at, loans);
--- a/packages/entry/src/sharing.ts
+++ b/packages/entry/src/sharing.ts
@@ -29,6 +29,8 @@
   listLoads(service: ServiceId): ReadonlyMap<InstanceId, ServiceLoad>;
   requestLoans(service: ServiceId, peer: InstanceId, request: LoanRequest): void;
   sendReturn(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void;
+  /** Lends unasked to a peer, which counts the loans from its last `loads` message. */
+  sendLoans(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void;
   recordChange(isUrgent: boolean): void;
 }
 
@@ -94,6 +96,8 @@
   /** A call that has just been taken from the queue still counts as waiting. */
   #isServing = false;
 
+  #told = { isWaiting: false, hasFree: false };
+
   #renewedAt = 0;
 
   #borrowedAt = 0;
@@ -172,7 +176,10 @@
       this.#renewedAt = now;
       this.#renewLoans();
     }
-    this.#returnLoans(now);
+    // Idle loans are kept for a short time, for calls that come soon.
+    if (now - this.#borrowedAt >= keepLoansMs) {
+      this.#returnLoans(Math.max(0, lowWater - this.#credits.countLendable()));
+    }
     this.#serveQueue();
   }
 
@@ -184,7 +191,9 @@
     );
     const inFlight = Object.values(calls).reduce((sum, count) => sum + count, 0);
     const queued = this.#queue.size;
-    return { free: queued > 0 ? 0 : this.#credits.countLendable(), inFlight, queued, calls };
+    const free = queued > 0 ? 0 : this.#credits.countLendable();
+    this.#told = { isWaiting: queued > 0, hasFree: free > 0 };
+    return { free, inFlight, queued, calls };
   }
 
   lend(peer: InstanceId, { wanted, queued, free, renew, only }: LoanRequest): readonly Loan[] {
@@ -270,11 +279,32 @@
     }
     this.#isServing = false;
     if (this.#queue.size > 0) {
-      this.#options.market.recordChange(true);
+      this.#recordChange();
       this.#borrow(this.#queue.size);
     }
   }
 
+  /** Sends a freed credit at once to a peer that has calls waiting: there is no use for it here. */
+  #serveWaitingPeers(): void {
+    if (this.#queue.size > 0) return;
+    const { market } = this.#options;
+    const waiting = [...market.listLoads(this.service.name)].filter(([, load]) => load.queued > 0);
+    if (waiting.length === 0) return;
+    this.#returnLoans(0);
+    const [longest] = waiting.sort(([, a], [, b]) => b.queued - a.queued);
+    if (!longest) return;
+    const [peer, load] = longest;
+    market.sendLoans(this.service.name, peer, this.#credits.lend(peer, load.queued, 0));
+  }
+
+  /** Peers hear soon when calls begin or cease to wait here, or free credits begin or cease. */
+  #recordChange(): void {
+    const isWaiting = this.#queue.size > 0;
+    const hasFree = !isWaiting && this.#credits.countLendable() > 0;
+    const { isWaiting: wasWaiting, hasFree: hadFree } = this.#told;
+    this.#options.market.recordChange(isWaiting !== wasWaiting || hasFree !== hadFree);
+  }
+
   #hasFree(): boolean {
     return this.service.endpoints.some(({ id }) => this.#credits.countFree(id) > 0);
   }
@@ -318,7 +348,8 @@
         credits.forEach((credit) => this.#credits.release(credit));
         this.#recordKnown(endpoint.id);
         this.#serveQueue();
-        this.#options.market.recordChange(false);
+        this.#serveWaitingPeers();
+        this.#recordChange();
       },
     };
   }
@@ -411,11 +442,10 @@
     });
   }
 
-  #returnLoans(now: number): void {
-    if (this.#queue.size > 0 || now - this.#borrowedAt < keepLoansMs) return;
+  #returnLoans(keep: number): void {
+    if (this.#queue.size > 0) return;
     // Loans that are collected for a call that must run alone are idle as well.
     if ([...this.#setAside.values()].some(({ owner }) => owner === this.#options.self)) return;
-    const keep = Math.max(0, lowWater - this.#credits.countLendable());
     const returned = this.#credits.dropLoans(keep);
     new Set(returned.map(({ peer }) => peer)).forEach((peer) => {
       const loans = returned
