--- a/packages/once/src/arbiter.ts
+++ b/packages/once/src/arbiter.ts
@@ -124,6 +124,11 @@
     return { kind: 'moved' };
   }
 
+  /** @returns Whether a key is known. */
+  has(key: string): boolean {
+    return this.#table?.find(key) !== undefined;
+  }
+
   /** Records how an attempt ended. */
   settle(key: string, holder: Holder, outcome: Outcome): void {
     this.#table?.settle(key, holder, outcome);
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -141,6 +141,15 @@
     return this.#write('PUT', `/v1/kv/${key}?cas=${modifyIndex}`, value);
   }
 
+  /**
+   * Deletes one key.
+   *
+   * @param key - The key, which need not exist.
+   */
+  async remove(key: string): Promise<Result<boolean, PlatformError>> {
+    return this.#write('DELETE', `/v1/kv/${key}`, Buffer.alloc(0));
+  }
+
   /**
    * Opens a session, the owner of leases.
    *
