--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,6 +4,7 @@
 export * from './config.js';
 export * from './once.js';
 export * from './operator.js';
+export * from './suspects.js';
 export * from './desk.js';
 export * from './documents.js';
 export * from './fleet.js';
--- a/packages/suspects/src/index.ts
+++ b/packages/suspects/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './table.js';
