--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -1,5 +1,12 @@
 import type { EndpointPool, Refusal } from '@dotterelpass/proxy';
-import type { EndpointId, EndpointSpec, Rule, Service, TenantId } from '@dotterelpass/values';
+import type {
+  EndpointId,
+  EndpointSpec,
+  FailureDomain,
+  Rule,
+  Service,
+  TenantId,
+} from '@dotterelpass/values';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
@@ -15,6 +22,8 @@
   readonly signal: AbortSignal;
   /** The call may crash its endpoint: no other call of the fleet may run there meanwhile. */
   readonly alone?: boolean | undefined;
+  /** To be avoided while others have room; a hedge names the domain of its first attempt. */
+  readonly avoidDomains?: readonly FailureDomain[] | undefined;
 }
 
 /** How the use of a slot ended. */
