--- a/packages/peers/src/hub.ts
+++ b/packages/peers/src/hub.ts
@@ -40,8 +40,7 @@
 
   readonly #incoming = new Set<PeerLink>();
 
-  /** Called when the link to a peer has closed. */
-  onclose: (instance: InstanceId) => void = () => undefined;
+  #listeners: readonly ((instance: InstanceId) => void)[] = [];
 
   /**
    * @param self - Who this instance is.
@@ -81,6 +80,15 @@
     this.#handlers.set(type, handler);
   }
 
+  /**
+   * Registers a function that is called when the link to a peer has closed.
+   *
+   * @param listener - The function.
+   */
+  watchClose(listener: (instance: InstanceId) => void): void {
+    this.#listeners = [...this.#listeners, listener];
+  }
+
   /**
    * Starts to listen for links.
    *
@@ -176,7 +184,7 @@
     }
     const forget = () => {
       if (this.#links.get(instance) === opening) this.#links.delete(instance);
-      this.onclose(instance);
+      this.#listeners.forEach((listener) => listener(instance));
     };
     if (link.value.closed) forget();
     else link.value.onclose = forget;
