Find the live entry instances by the detector, and spread configuration between them

FleetMembers runs the Detector over the peer links. Its names come from the seeds, from the platform's list and from other members; the list makes nobody live and removes nobody. A link that closes before a port that refuses means that the process is gone, without a suspicion.

ConfigSpread tells peers of newer revisions at once and compares digests of 16 numbers with one peer every 500 ms, so that a digest exchange of equal configurations has the same size at any number of services. An instance without a configuration is unready and answers 503 with not-run.

Every live member's address is given to the hub: before that, a push from a peer that had not been pinged yet could not be answered by a pull.

--- /dev/null
+++ b/packages/bench/test/entries.ts
@@ -0,0 +1,180 @@
+import { Cluster, call, findPort, waitFor } from '../src/cluster.js';
+import type { Running } from '../src/cluster.js';
+
+/** One entry instance of a test. */
+export interface Entry {
+  readonly name: string;
+  readonly callerPort: number;
+  readonly operatorPort: number;
+  readonly flags: Readonly<Record<string, string | number>>;
+  readonly running: Running;
+}
+
+const timeoutMs = 15_000;
+
+/**
+ * Five entry instances that reach each other through a fault proxy, an endpoint and a platform;
+ * the last instance reaches the platform through the proxy as well.
+ */
+export class EntryFleet {
+  readonly cluster = new Cluster();
+
+  entries: readonly Entry[] = [];
+
+  platformPort = 0;
+
+  endpointPort = 0;
+
+  #proxyPort = 0;
+
+  async open(flags: Readonly<Record<string, string | number>> = {}): Promise<void> {
+    this.platformPort = await findPort();
+    this.endpointPort = await findPort();
+    this.#proxyPort = await findPort();
+    const viaProxy = await findPort();
+    await this.cluster.start('platform', { listen: `127.0.0.1:${this.platformPort}` });
+    await this.cluster.start('endpoint', {
+      listen: `127.0.0.1:${this.endpointPort}`,
+      name: 'status-1',
+      slots: 64,
+    });
+    await this.storeRevision(1);
+    const planned = await Promise.all(
+      [1, 2, 3, 4, 5].map(async (n) => ({
+        name: `entry-${n}`,
+        callerPort: await findPort(),
+        operatorPort: await findPort(),
+        peerPort: await findPort(),
+        peerAddress: `127.0.0.1:${await findPort()}`,
+      })),
+    );
+    const routes = planned.map((e) => `${e.name}=${e.peerAddress}>127.0.0.1:${e.peerPort}`);
+    await this.cluster.start('faultproxy', {
+      control: `127.0.0.1:${this.#proxyPort}`,
+      routes: [...routes, `watch=127.0.0.1:${viaProxy}>127.0.0.1:${this.platformPort}`].join(','),
+    });
+    const seeds = planned.slice(0, 3).map((e) => `${e.name}=${e.peerAddress}`);
+    this.entries = await Promise.all(
+      planned.map(async ({ name, ...addresses }, index) => {
+        const all = {
+          instance: name,
+          failureDomain: 'cercado',
+          peerKey: 'a shared key of tests',
+          peers: seeds.join(','),
+          platform: `127.0.0.1:${index === 4 ? viaProxy : this.platformPort}`,
+          ...addresses,
+          ...flags,
+        };
+        return { name, ...addresses, flags: all, running: await this.cluster.start('entry', all) };
+      }),
+    );
+    await this.waitUntilReady(this.entries);
+  }
+
+  /** Stores the service on the platform; each revision differs in its queue limit. */
+  async storeRevision(revision: number): Promise<void> {
+    const path = '/v1/kv/config/services/status';
+    const stored = await call(this.platformPort, path);
+    const before = stored.status === 200 ? JSON.parse(stored.body.toString()) : [];
+    const endpoint = {
+      id: 'status-1',
+      address: `127.0.0.1:${this.endpointPort}`,
+      failureDomain: 'cercado',
+      slots: 64,
+    };
+    const service = {
+      name: 'status',
+      routes: [{ pathPrefix: '/status' }],
+      endpoints: [endpoint],
+      limits: { queue: 100 + revision },
+    };
+    const history = Array.from({ length: revision }, (_, n) => ({
+      commandId: `c${n + 1}`,
+      author: 'test',
+      atMs: n,
+      text: 'limits',
+      revision: n + 1,
+    }));
+    await call(this.platformPort, `${path}?cas=${before[0]?.ModifyIndex ?? 0}`, {
+      method: 'PUT',
+      body: JSON.stringify({ revision, service, history }),
+    });
+  }
+
+  async setPlatformFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await call(this.platformPort, '/standin/faults', {
+      method: 'PUT',
+      body: JSON.stringify(faults),
+    });
+  }
+
+  /** Sets faults on a route of the proxy; those not named are off. */
+  async setRouteFaults(route: string, faults: Readonly<Record<string, unknown>>): Promise<void> {
+    const path = `/standin/faults/${encodeURIComponent(route)}`;
+    await call(this.#proxyPort, path, { method: 'PUT', body: JSON.stringify(faults) });
+  }
+
+  async restart(entry: Entry, signal: NodeJS.Signals): Promise<number | null> {
+    const code = await entry.running.end(signal);
+    await this.start(entry);
+    return code;
+  }
+
+  /** Starts an instance that has ended, with the same settings. */
+  async start(old: Entry): Promise<void> {
+    const running = await this.cluster.start('entry', old.flags);
+    this.entries = this.entries.map((each) =>
+      each.name === old.name ? { ...each, running } : each,
+    );
+  }
+
+  async isReady(entry: Entry): Promise<boolean> {
+    const reply = await call(entry.operatorPort, '/readyz').catch(() => undefined);
+    return reply?.status === 200;
+  }
+
+  async waitUntilReady(entries: readonly Entry[]): Promise<void> {
+    const check = async () =>
+      (await Promise.all(entries.map((entry) => this.isReady(entry)))).every(Boolean);
+    await waitFor(check, timeoutMs, 'not all entry instances are ready');
+  }
+
+  /** Waits until each of the instances counts this many live ones. */
+  async waitForLive(entries: readonly Entry[], count: number): Promise<void> {
+    const check = async () => {
+      const counts = await Promise.all(
+        entries.map(({ operatorPort }) => readGauge(operatorPort, 'members_live')),
+      );
+      return counts.every((each) => each === count);
+    };
+    await waitFor(check, timeoutMs, `not all of them count ${count} live instances`);
+  }
+
+  /** Waits until a revision is in force on each of the instances. */
+  async waitForRevision(entries: readonly Entry[], revision: number): Promise<void> {
+    const check = () => entries.every((entry) => listRevisions(entry).at(-1) === revision);
+    await waitFor(check, timeoutMs, `revision ${revision} is not in force everywhere`);
+  }
+}
+
+/** @returns Revisions that came in force on an instance since its start, in order. */
+export function listRevisions({ running }: Entry): number[] {
+  return readEvents(running, 'config-in-force').map(({ revision }) => Number(revision));
+}
+
+/** @returns Log lines of one event. */
+export function readEvents(running: Running, event: string): Record<string, unknown>[] {
+  return running
+    .readText()
+    .split('\n')
+    .filter((line) => line.includes(`"event":"${event}"`) && line.endsWith('}'))
+    .map((line) => JSON.parse(line) as Record<string, unknown>);
+}
+
+async function readGauge(operatorPort: number, name: string): Promise<number | undefined> {
+  const reply = await call(operatorPort, '/metrics').catch(() => undefined);
+  const line = new RegExp(`^dotterelpass_${name}\\{.*\\} (\\d+)`, 'm').exec(
+    reply?.body.toString() ?? '',
+  );
+  return line ? Number(line[1]) : undefined;
+}
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -11,7 +11,10 @@
 import { CallPath } from './calls.js';
 import { ConfigFeed } from './config.js';
 import { OperatorServer } from './operator.js';
-import { ConfiguredMembers, makeIncarnation } from './peers.js';
+import { Listing } from './listing.js';
+import { FleetMembers, makeIncarnation } from './peers.js';
+import { ReadyGate } from './ready.js';
+import { ConfigSpread } from './spread.js';
 
 const nameSchema = z
   .string()
@@ -52,6 +55,11 @@
           ),
         ),
     },
+    peerAddress: {
+      describe:
+        'IP address and port at which peers reach this instance, if not those it listens on',
+      schema: settingSchemas.address.optional(),
+    },
     platform: {
       describe: 'IP address and port of the platform',
       schema: settingSchemas.address,
@@ -71,37 +79,45 @@
   },
 );
 
-/** Time between checks of the configured peers, in milliseconds. */
-const refreshMs = 500;
-
 setLogLevel(settings.logLevel);
 const log = openLog('entry', { instance: settings.instance });
 const metrics = new Metrics({ instance: settings.instance });
 const instance = toName<InstanceId>(settings.instance);
 const incarnation = makeIncarnation();
 const hub = new PeerHub({ instance, incarnation }, settings.peerKey, log);
-const members = new ConfiguredMembers(instance, incarnation, hub);
+const members = new FleetMembers({ instance, incarnation }, hub, log, metrics);
 const platform = new PlatformClient(settings.platform);
 const config = new ConfigFeed(platform, log, metrics);
+const spread = new ConfigSpread(config, hub, members, log, metrics);
+const seeds = new Map(
+  settings.peers.map((peer) => {
+    const [name = '', address = ''] = peer.split('=');
+    return [toName<InstanceId>(name), address];
+  }),
+);
+const listing = new Listing(platform, members, seeds, log);
 const balancer = new Balancer();
 const calls = new CallPath(config, balancer, log, metrics);
-const callers = new CallerServer((request, response) => calls.serve(request, response));
+const gate = new ReadyGate(config, members);
+const callers = new CallerServer((request, response) =>
+  gate.isOpen ? calls.serve(request, response) : gate.refuse(response),
+);
 let stopping = false;
-const operators = new OperatorServer(metrics, () => config.ready && !stopping);
+const operators = new OperatorServer(metrics, () => gate.isReady && !stopping);
 
 metrics.addGauge('calls_in_flight', 'Calls that have not been answered yet.', () => callers.active);
 
 void config.run();
 const peerPort = await hub.open(settings.peerIp, settings.peerPort);
-for (const peer of settings.peers) {
-  const [name = '', address = ''] = peer.split('=');
-  hub.setAddress(toName<InstanceId>(name), address);
-}
-setInterval(() => {
-  void members.refresh();
-}, refreshMs).unref();
+const peerAddress = settings.peerAddress ?? `${settings.peerIp}:${peerPort}`;
+members.start(peerAddress);
+void spread.run();
 const operatorPort = await operators.open(settings.operatorIp, settings.operatorPort);
 const callerPort = await callers.open(settings.ip, settings.callerPort);
+void listing.run(
+  { id: instance, address: settings.ip, port: callerPort, meta: { incarnation } },
+  peerAddress,
+);
 log.info('started', {
   callerPort,
   operatorPort,
@@ -123,6 +139,8 @@
   });
   await callers.close(settings.stopMaxMs);
   config.stop();
+  spread.stop();
+  await Promise.all([members.leave(), listing.stop()]);
   hub.close();
   balancer.close();
   platform.close();
--- /dev/null
+++ b/packages/entry/test/fleet.ts
@@ -0,0 +1,87 @@
+import { readDocument } from '@dotterelpass/configuration';
+import type { ServiceDocument } from '@dotterelpass/configuration';
+import { PeerHub } from '@dotterelpass/peers';
+import { Metrics } from '@dotterelpass/telemetry';
+import type { Log } from '@dotterelpass/telemetry';
+import type { InstanceId } from '@dotterelpass/values';
+import { err } from 'neverthrow';
+import { ConfigFeed } from '../src/config.js';
+import { FleetMembers, makeIncarnation } from '../src/peers.js';
+import { ConfigSpread } from '../src/spread.js';
+
+/** Membership and spread of one entry instance, in this process, without its other parts. */
+export interface Node {
+  readonly name: InstanceId;
+  readonly hub: PeerHub;
+  readonly members: FleetMembers;
+  readonly feed: ConfigFeed;
+  readonly spread: ConfigSpread;
+  readonly address: string;
+  /** Log events in order. */
+  readonly events: string[];
+}
+
+const key = 'a shared key of tests';
+
+/** Opens a node that has not started to look for others yet. */
+export async function openNode(name: string, port = 0): Promise<Node> {
+  const events: string[] = [];
+  const write = (event: string) => {
+    events.push(event);
+  };
+  const log: Log = { debug: write, info: write, warn: write, error: write };
+  const metrics = new Metrics();
+  const identity = { instance: name as InstanceId, incarnation: makeIncarnation() };
+  const hub = new PeerHub(identity, key, log);
+  const members = new FleetMembers(identity, hub, log, metrics);
+  const platform = {
+    read: async () => err({ kind: 'unreachable', message: 'down', applied: 'no' } as const),
+  };
+  const feed = new ConfigFeed(platform, log, metrics);
+  const spread = new ConfigSpread(feed, hub, members, log, metrics);
+  const address = `127.0.0.1:${await hub.open('127.0.0.1', port)}`;
+  return { name: identity.instance, hub, members, feed, spread, address, events };
+}
+
+/** Opens nodes that know each other as seeds. */
+export async function openNodes(names: readonly string[]): Promise<readonly Node[]> {
+  const nodes = await Promise.all(names.map((name) => openNode(name)));
+  const seeds = new Map(nodes.map(({ name, address }) => [name, address]));
+  nodes.forEach(({ members, address }) => {
+    members.setNames(seeds);
+    members.start(address);
+  });
+  await waitUntil(() => nodes.every(({ members }) => members.live.length === nodes.length));
+  return nodes;
+}
+
+/** Makes a document whose history has one decision for each revision. */
+export function makeDocument(service: string, revision: number): ServiceDocument {
+  const history = Array.from({ length: revision }, (_, n) => ({
+    commandId: `c${n + 1}`,
+    author: 'test',
+    atMs: n,
+    text: 'a change',
+    revision: n + 1,
+  }));
+  const text = JSON.stringify({ revision, service: { name: service }, history });
+  const document = readDocument(Buffer.from(text));
+  if (document.isErr()) throw new Error(document.error);
+  return document.value;
+}
+
+/** @returns The revision of a service in force on a node. */
+export function findRevision({ feed }: Node, service: string): number | undefined {
+  return feed.inForce.findDocument(service as never)?.revision;
+}
+
+/** Waits for a condition, and fails when it does not come in 10 s. */
+export async function waitUntil(check: () => boolean): Promise<void> {
+  const end = performance.now() + 10_000;
+  while (!check()) {
+    if (performance.now() > end) throw new Error('the condition has not come');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+}
--- a/packages/membership/test/fleet.ts
+++ b/packages/membership/test/fleet.ts
@@ -90,6 +90,10 @@
     const end = this.clock.now() + ms;
     while (this.clock.now() < end) {
       this.clock.advance(stepMs);
+      // Timers go before messages, as in a process that comes back from a stall.
+      this.detectors.forEach((detector, name) => {
+        if (!this.paused.has(name)) detector.advance();
+      });
       const due = this.#deliveries.filter(
         ({ at, to }) => at <= this.clock.now() && !this.paused.has(to),
       );
@@ -99,9 +103,6 @@
         const answer = this.detectors.get(to)?.receive(message);
         if (answer) this.#post(to, from, answer);
       });
-      this.detectors.forEach((detector, name) => {
-        if (!this.paused.has(name)) detector.advance();
-      });
     }
   }
 
