--- a/packages/entry/src/loads.ts
+++ b/packages/entry/src/loads.ts
@@ -14,6 +14,12 @@
   readonly calls: Readonly<Record<string, number>>;
 }
 
+/** What a peer has told. */
+export interface PeerLoad extends ServiceLoad {
+  /** The most calls on an endpoint in recent messages: reports tell of a moment before now. */
+  countRecent(endpoint: EndpointId): number;
+}
+
 /** A question for credits. */
 export interface LoanRequest {
   readonly wanted: number;
@@ -80,7 +86,7 @@
 /** A peer that was not heard for this long is taken to have nothing free. */
 const staleMs = 1000;
 
-interface Heard extends ServiceLoad {
+interface Heard extends PeerLoad {
   readonly at: number;
   /** When the peer sent it, by the peer's clock. */
   readonly sentAt: number;
@@ -145,7 +151,7 @@
    *
    * @returns The loads by peer.
    */
-  listLoads(service: ServiceId): ReadonlyMap<InstanceId, ServiceLoad> {
+  listLoads(service: ServiceId): ReadonlyMap<InstanceId, PeerLoad> {
     const oldest = this.#clock.now() - staleMs;
     const known = [...(this.#heard.get(service) ?? [])];
     const { live } = this.#members;
@@ -195,7 +201,13 @@
       const name = key as ServiceId;
       const heard = this.#heard.get(name) ?? new Map<InstanceId, Heard>();
       this.#heard.set(name, heard);
-      heard.set(peer, { ...load, at: this.#clock.now(), sentAt: message.at });
+      const before = heard.get(peer)?.calls ?? {};
+      heard.set(peer, {
+        ...load,
+        at: this.#clock.now(),
+        sentAt: message.at,
+        countRecent: (id) => Math.max(load.calls[id] ?? 0, before[id] ?? 0),
+      });
       const loans =
         load.queued > 0 ? (this.#source.shared.get(name)?.offerLoans(peer, load) ?? []) : [];
       this.#sendLoans(peer, name, message.at, loans);
--- a/packages/entry/src/sharing.ts
+++ b/packages/entry/src/sharing.ts
@@ -17,7 +17,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { EndpointAccess } from './baseline.js';
-import type { LoanRequest, ServiceLoad, SharedService } from './loads.js';
+import type { LoanRequest, PeerLoad, ServiceLoad, SharedService } from './loads.js';
 import { RecentMax } from './recent.js';
 import { readReport } from './report.js';
 import type { LoadReport } from './report.js';
@@ -26,7 +26,7 @@
 
 /** What a shared service asks of the messages to peers. */
 export interface LoanMarket {
-  listLoads(service: ServiceId): ReadonlyMap<InstanceId, ServiceLoad>;
+  listLoads(service: ServiceId): ReadonlyMap<InstanceId, PeerLoad>;
   requestLoans(service: ServiceId, peer: InstanceId, request: LoanRequest): void;
   sendReturn(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void;
   /** Lends unasked to a peer, which counts the loans from its last `loads` message. */
@@ -387,7 +387,7 @@
   /** Calls of the fleet on an endpoint: the most that this instance has recently known of. */
   #countKnown(id: EndpointId, loads = this.#options.market.listLoads(this.service.name)): number {
     const own = this.#known.get(id)?.read() ?? 0;
-    return [...loads.values()].reduce((sum, { calls }) => sum + (calls[id] ?? 0), own);
+    return [...loads.values()].reduce((sum, load) => sum + load.countRecent(id), own);
   }
 
   #recordKnown(id: EndpointId): void {
