Take completions alone for capacity once calls wait

The rate that predicts waits was the larger of the last second's completions and what the held slots allow. On a busy machine slots promise more than is done, so calls were admitted that could not end in time.

--- a/packages/admission/src/queue.ts
+++ b/packages/admission/src/queue.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Clock, TenantId } from '@dotterelpass/values';
-import { CompletionRate } from './rate.js';
+import { CompletionRate, windowMs } from './rate.js';
 
 /** A call that waits for a slot. */
 export interface WaitingCall {
@@ -53,6 +53,9 @@
 
   #size = 0;
 
+  /** Since when the queue has not been empty. */
+  #waitingSince = 0;
+
   /** Tenants with waiting calls, the one whose turn it is first. */
   #turns: TenantId[] = [];
 
@@ -71,7 +74,8 @@
 
   /** Calls a second that this queue can expect to be served. */
   get ratePerSecond(): number {
-    return this.#rate.readPerSecond();
+    const isSaturated = this.#size > 0 && this.#clock.now() - this.#waitingSince >= windowMs;
+    return this.#rate.readPerSecond(isSaturated);
   }
 
   /** Time that a call takes, with a margin for its spread, in milliseconds. */
@@ -120,6 +124,7 @@
     if (this.#size >= this.#findBound(call, rate)) {
       return err(this.#toRefusal('queue-full', `${this.#size} calls wait already`, waitMs));
     }
+    if (this.#size === 0) this.#waitingSince = this.#clock.now();
     const queue = this.#findTenant(call.tenant);
     if (queue.size === 0) this.#turns.push(call.tenant);
     const level = queue.levels.get(call.priority);
--- a/packages/admission/src/rate.ts
+++ b/packages/admission/src/rate.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@dotterelpass/values';
 
-const windowMs = 1000;
+/** Completions are counted over this time, in milliseconds. */
+export const windowMs = 1000;
 const bucketMs = 50;
 const sampleWeight = 0.05;
 /** Deviations above the mean that a call is expected to take at most. */
@@ -53,13 +54,16 @@
    * Reads the rate of completions: those of the last second, or what the slots allow when
    * demand was lower than that.
    *
+   * @param isSaturated - Whether calls have waited for the whole window. Then the completions
+   * are all that could be done, and the slots may promise more than a slow host can keep.
    * @returns Calls a second.
    */
-  readPerSecond(): number {
+  readPerSecond(isSaturated = false): number {
     const first = Math.floor((this.#clock.now() - windowMs) / bucketMs);
     const recent = this.#buckets
       .filter(({ bucket }) => bucket > first)
       .reduce((sum, { count }) => sum + count, 0);
+    if (isSaturated) return recent;
     const possible = this.#meanMs > 0 ? (this.#slots * 1000) / this.#meanMs : 0;
     return Math.max(recent, possible);
   }
--- a/packages/admission/test/queue.test.ts
+++ b/packages/admission/test/queue.test.ts
@@ -151,6 +151,20 @@
     expect(offer.isOk()).toBe(true);
   });
 
+  /** Guards deadlines on a slow host: once calls wait, only what was done counts as capacity. */
+  it('believes completions rather than slots while calls wait', () => {
+    const { queue, clock } = openQueue({ slots: 10 });
+    queue.recordCompletion(10);
+    queue.recordSlots(10);
+    queue.offer(makeCall(0));
+    expect(queue.ratePerSecond).toBe(1000);
+    for (let count = 0; count < 20; count++) {
+      clock.advance(100);
+      queue.recordCompletion(10);
+    }
+    expect(queue.ratePerSecond).toBe(10);
+  });
+
   /** Guards callers with a call that waits behind others until its time is over. */
   it('drops a call once its deadline is nearer than the service time', () => {
     const { queue, clock } = openQueue();
