Let a standing queue hold a quarter of the deadline

After a crest the backlog of a whole deadline kept calls waiting for 4 s at half load. A queue that was not empty for a second now takes a quarter of the deadline, or as many calls as this instance holds slots.

--- a/packages/admission/src/queue.ts
+++ b/packages/admission/src/queue.ts
@@ -41,6 +41,12 @@
 /** Smallest share that a tenant gains in one round, so that a round always ends. */
 const minWeight = 0.01;
 
+/**
+ * Share of the deadline that a standing queue may hold. A backlog of a whole deadline takes that
+ * long to serve after a crest: at half load, calls waited 4 s more with a deadline of 2 s.
+ */
+const standingShare = 0.25;
+
 /** The bounded queue of one service: fair between tenants, by priority within a tenant. */
 export class AdmissionQueue<Call extends WaitingCall> {
   readonly #clock: Clock;
@@ -53,6 +59,8 @@
 
   #size = 0;
 
+  #heldSlots = 1;
+
   /** Since when the queue has not been empty. */
   #waitingSince = 0;
 
@@ -74,8 +82,7 @@
 
   /** Calls a second that this queue can expect to be served. */
   get ratePerSecond(): number {
-    const isSaturated = this.#size > 0 && this.#clock.now() - this.#waitingSince >= windowMs;
-    return this.#rate.readPerSecond(isSaturated);
+    return this.#rate.readPerSecond(this.#isSaturated());
   }
 
   /** Time that a call takes, with a margin for its spread, in milliseconds. */
@@ -104,6 +111,7 @@
    * @param slots - Slots that this instance holds or uses.
    */
   recordSlots(slots: number): void {
+    this.#heldSlots = slots;
     this.#rate.recordSlots(slots);
   }
 
@@ -239,9 +247,16 @@
     return ahead;
   }
 
+  /** A queue that was not empty for a whole window gives its calls nothing but a wait. */
+  #isSaturated(): boolean {
+    return this.#size > 0 && this.#clock.now() - this.#waitingSince >= windowMs;
+  }
+
   #findBound(call: Call, rate: number): number {
     const { queue, slots } = this.#limits;
-    return Math.min(queue, Math.max(slots, rate * (call.deadlineMs / 1000)));
+    const perDeadline = rate * (call.deadlineMs / 1000);
+    if (!this.#isSaturated()) return Math.min(queue, Math.max(slots, perDeadline));
+    return Math.min(queue, Math.max(this.#heldSlots, perDeadline * standingShare));
   }
 
   #toRefusal(
--- a/packages/admission/test/queue.test.ts
+++ b/packages/admission/test/queue.test.ts
@@ -165,6 +165,24 @@
     expect(queue.ratePerSecond).toBe(10);
   });
 
+  /** Guards the time after a crest: a backlog of a whole deadline would last as long again. */
+  it('holds a quarter of the deadline once it was not empty for a second', () => {
+    const { queue, clock } = openQueue({ slots: 3 });
+    const fill = () => {
+      while (queue.offer(makeCall(0, { deadlineMs: 2000 })).isOk());
+      return queue.size;
+    };
+    fill();
+    for (let count = 0; count < 200; count++) {
+      clock.advance(10);
+      queue.recordCompletion(0.01);
+    }
+    for (let left = queue.size; left > 1; left--) queue.pickNext();
+    // The completions of the last second are counted in steps of 50 ms.
+    expect(fill()).toBeLessThanOrEqual(50);
+    expect(queue.size).toBeGreaterThan(45);
+  });
+
   /** Guards callers with a call that waits behind others until its time is over. */
   it('drops a call once its deadline is nearer than the service time', () => {
     const { queue, clock } = openQueue();
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,11 +2,20 @@
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { pathScenario } from './path.js';
+import { crestScenario } from './crest.js';
+import { holScenario } from './hol.js';
+import { measureScenario } from './measure.js';
 import { tailScenario } from './tail.js';
 import { isMet, writeFigures } from './scenario.js';
 import type { Scenario } from './scenario.js';
 
-const scenarios: readonly Scenario[] = [pathScenario, tailScenario];
+const scenarios: readonly Scenario[] = [
+  pathScenario,
+  crestScenario,
+  holScenario,
+  measureScenario,
+  tailScenario,
+];
 
 const usage = `usage: npm run bench -- SCENARIO [--seed N] [--runs N] [--json FILE]
 
--- a/packages/bench/src/trial.ts
+++ b/packages/bench/src/trial.ts
@@ -1,6 +1,7 @@
 import { Runner, isAnswered, planSchema } from '@dotterelpass/load';
 import type { Outcome, PlanInput } from '@dotterelpass/load';
 import { sleep } from './cluster.js';
+import type { Deployment } from './deployment.js';
 import { Fleet } from './fleet.js';
 import type { EndpointProcess, FleetOptions } from './fleet.js';
 
@@ -53,6 +54,11 @@
   return new Runner(planSchema.parse({ ...plan, targets: fleet.targets })).run();
 }
 
+/** Value of the setting `domainDelays` for a deployment. */
+export function toDelays({ failureDomains, betweenDomainsMs }: Deployment): string {
+  return failureDomains.map((domain) => `${domain}=${betweenDomainsMs}`).join(',');
+}
+
 /** Latencies of answered calls, in milliseconds. */
 export function listLatencies(outcomes: readonly Outcome[]): number[] {
   return outcomes.filter(isAnswered).map(({ latencyMs }) => latencyMs);
