--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -155,11 +155,16 @@
     );
   }
 
+  /** @returns Every run of every endpoint, ended ones included. */
+  async readLedger(): Promise<readonly LedgerLine[]> {
+    const texts = (await readFile(this.#ledger, 'utf8')).split('\n').filter(Boolean);
+    return texts.map((text) => JSON.parse(text) as LedgerLine);
+  }
+
   /** @returns How often each key began to run, over all endpoints, ended ones included. */
   async countRuns(): Promise<ReadonlyMap<string, number>> {
     const counts = new Map<string, number>();
-    for (const text of (await readFile(this.#ledger, 'utf8')).split('\n').filter(Boolean)) {
-      const { key } = JSON.parse(text) as LedgerLine;
+    for (const { key } of await this.readLedger()) {
       if (key !== '') counts.set(key, (counts.get(key) ?? 0) + 1);
     }
     return counts;
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -81,7 +81,7 @@
       const alone = leave?.alone === true;
       const slot = await this.#acquire(call, { tried, alone });
       if (slot.isErr()) {
-        leave?.finish(false);
+        leave?.finish(false, false);
         return toRefused(slot.error, verdict);
       }
       tried = [...tried, slot.value.endpoint.id];
@@ -96,11 +96,11 @@
       });
       if (decision.kind === 'stop' || !budget.hasRoom(groups) || call.gone.aborted) {
         if (end.answered) return toAnswered(end.answered, leave, verdict);
-        leave?.finish(end.crashed);
+        leave?.finish(end.crashed, false);
         return toRefused(end.refusal, verdict);
       }
       verdict = findWorst(verdict, end.failure.verdict);
-      leave?.finish(end.crashed);
+      leave?.finish(end.crashed, end.answered !== undefined);
       if (end.answered) await dropAnswer(end.answered);
       budget.recordExtra(groups);
       metrics.recordEvent('retry', call.service.name);
@@ -301,7 +301,7 @@
     mayHaveRun: earlier !== 'not-run',
     async end(outcome) {
       const crashed = await end(outcome);
-      if (leave?.kind === 'run') leave.finish(crashed);
+      if (leave?.kind === 'run') leave.finish(crashed, outcome.result === 'answered');
       return crashed;
     },
   };
--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -108,7 +108,8 @@
 
   /** @returns The instance that leads a shard in the view of this one. */
   findLeader(shard: string): InstanceId {
-    const [leader] = rankByHash(`once/${shard}`, this.#parts.members.live);
+    // Digits at the end of a key hardly change its hash; this order spreads the shards evenly.
+    const [leader] = rankByHash(`${shard}/once`, this.#parts.members.live);
     return leader ?? this.#parts.members.self;
   }
 
--- a/packages/entry/src/gates.ts
+++ b/packages/entry/src/gates.ts
@@ -59,7 +59,16 @@
 
 /** What a request may do that may have crashed an endpoint before. `finish` is called once. */
 export type SuspectLeave =
-  | { readonly kind: 'run'; readonly alone: boolean; finish(crashed: boolean): void }
+  | {
+      readonly kind: 'run';
+      readonly alone: boolean;
+      /**
+       * @param crashed - Whether the endpoint crashed.
+       * @param answered - Whether the endpoint gave its whole answer, by default when it did not
+       * crash. A run without either, or none at all, neither clears a suspect nor bans it.
+       */
+      finish(crashed: boolean, answered?: boolean): void;
+    }
   | { readonly kind: 'refuse'; readonly refusal: Refusal };
 
 /** Keeps requests that crash endpoints from doing so again and again. */
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -15,6 +15,8 @@
 import { Fleet } from './fleet.js';
 import { OperatorServer } from './operator.js';
 import { Prober } from './probes.js';
+import { FleetSuspects } from './suspects.js';
+import { FleetOnce } from './once.js';
 import { ConfiguredMembers, makeIncarnation } from './peers.js';
 
 const nameSchema = z
@@ -133,7 +135,10 @@
   metrics,
   listServices: () => config.inForce.services,
 });
-const calls = new CallPath(config, balancer, log, metrics);
+const identity = { instance, incarnation };
+const once = new FleetOnce({ identity, hub, members, platform, log, metrics }, settings.peerKey);
+const suspects = new FleetSuspects({ identity, hub, members, log, metrics });
+const calls = new CallPath(config, balancer, log, metrics, { once, suspects });
 const callers = new CallerServer((call) => calls.serve(call));
 let stopping = false;
 const desk = new OperatorDesk({
@@ -141,6 +146,7 @@
   config,
   documents: new PlatformDocuments(platform),
   fleet: new Fleet(hub, members, config),
+  suspects,
   log,
   metrics,
 });
--- a/packages/entry/src/suspects.ts
+++ b/packages/entry/src/suspects.ts
@@ -1,5 +1,5 @@
 import { SuspectTable } from '@dotterelpass/suspects';
-import type { Standing, SuspectRow } from '@dotterelpass/suspects';
+import type { RunEnd, Standing, SuspectRow } from '@dotterelpass/suspects';
 import type { Body, Identity, PeerHub } from '@dotterelpass/peers';
 import type { Log, Metrics } from '@dotterelpass/telemetry';
 import { rankByHash, systemClock, systemRandom } from '@dotterelpass/values';
@@ -57,7 +57,10 @@
 
   async admit(fingerprint: string, deadlineAt: number, signal: AbortSignal): Promise<SuspectLeave> {
     if (this.#table.find(fingerprint) === 'clear') {
-      return { kind: 'run', alone: false, finish: (crashed) => this.#end(fingerprint, crashed) };
+      const finish = (crashed: boolean, answered = !crashed) => {
+        if (answered) this.#endWell(fingerprint);
+      };
+      return { kind: 'run', alone: false, finish };
     }
     const holder = `${this.#parts.identity.incarnation}/${this.#next}`;
     this.#next += 1;
@@ -68,7 +71,9 @@
       if (standing === 'clear') return this.admit(fingerprint, deadlineAt, signal);
       const answer = await this.#ask(fingerprint, holder, deadlineAt - performance.now());
       if (answer === 'run') {
-        const finish = (crashed: boolean) => this.#endAlone(fingerprint, holder, crashed);
+        const finish = (crashed: boolean, answered = !crashed) => {
+          this.#endAlone(fingerprint, holder, { crashed, answered });
+        };
         return { kind: 'run', alone: true, finish };
       }
       if (answer === 'banned') this.#table.ban(fingerprint);
@@ -109,31 +114,31 @@
   }
 
   /** A request that ended well while it was suspected elsewhere does not crash endpoints. */
-  #end(fingerprint: string, crashed: boolean): void {
-    if (!crashed && this.#table.find(fingerprint) === 'suspect') {
-      this.#announce({ cleared: [fingerprint] });
-    }
+  #endWell(fingerprint: string): void {
+    if (this.#table.find(fingerprint) === 'suspect') this.#announce({ cleared: [fingerprint] });
   }
 
-  #endAlone(fingerprint: string, holder: string, crashed: boolean): void {
+  #endAlone(fingerprint: string, holder: string, end: RunEnd): void {
     const { log, metrics } = this.#parts;
-    const event = crashed ? 'suspect-banned' : 'suspect-cleared';
-    metrics.recordEvent(event);
-    log.warn(event, { fingerprint });
-    this.#announce(crashed ? { banned: [fingerprint] } : { cleared: [fingerprint] });
-    void this.#sendEnd(fingerprint, holder, crashed);
+    if (end.crashed || end.answered) {
+      const event = end.crashed ? 'suspect-banned' : 'suspect-cleared';
+      metrics.recordEvent(event);
+      log.warn(event, { fingerprint });
+      this.#announce(end.crashed ? { banned: [fingerprint] } : { cleared: [fingerprint] });
+    }
+    void this.#sendEnd(fingerprint, holder, end);
   }
 
   /** The announcement can be lost; the arbiter must know, since it gives the permissions. */
-  async #sendEnd(fingerprint: string, holder: string, crashed: boolean): Promise<void> {
+  async #sendEnd(fingerprint: string, holder: string, end: RunEnd): Promise<void> {
     const { hub, members } = this.#parts;
     for (let tries = 1; tries <= endTries; tries++) {
       const arbiter = this.#findArbiter(fingerprint);
       if (arbiter === members.self) {
-        this.#table.release(fingerprint, holder, crashed);
+        this.#table.release(fingerprint, holder, end);
         return;
       }
-      const body = { fingerprint, holder, ended: true, crashed };
+      const body = { fingerprint, holder, end };
       if ((await hub.request(arbiter, 'may-run', body, endTimeoutMs)).isOk()) return;
     }
   }
@@ -149,16 +154,15 @@
   }
 
   async #handleMayRun(body: Body): Promise<Body> {
-    const { fingerprint, holder, holdMs, waitMs, ended, crashed } = body as {
+    const { fingerprint, holder, holdMs, waitMs, end } = body as {
       fingerprint: string;
       holder: string;
       holdMs: number;
       waitMs: number;
-      ended?: boolean;
-      crashed?: boolean;
+      end?: RunEnd;
     };
-    if (ended) {
-      this.#table.release(fingerprint, holder, crashed === true);
+    if (end) {
+      this.#table.release(fingerprint, holder, end);
       return {};
     }
     // The announcement may not have come yet.
--- a/packages/suspects/src/table.ts
+++ b/packages/suspects/src/table.ts
@@ -3,6 +3,12 @@
 /** What is known of a request: nothing bad, it was there when an endpoint crashed, or banned. */
 export type Standing = 'clear' | 'suspect' | 'banned';
 
+/** How a run of a suspect ended; without either, nothing is learned of it. */
+export interface RunEnd {
+  readonly crashed: boolean;
+  readonly answered: boolean;
+}
+
 /** A suspect or a ban, for operators. */
 export interface SuspectRow {
   readonly fingerprint: string;
@@ -128,11 +134,16 @@
     return 'run';
   }
 
-  /** Gives a permission back. A good end clears the suspect, a crash bans it. */
-  release(fingerprint: string, holder: string, crashed: boolean): void {
-    if (this.#suspects.get(fingerprint)?.holder !== holder) return;
+  /** Gives a permission back. An answer clears the suspect, a crash bans it. */
+  release(fingerprint: string, holder: string, { crashed, answered }: RunEnd): void {
+    const known = this.#suspects.get(fingerprint);
+    if (known?.holder !== holder) return;
     if (crashed) this.ban(fingerprint);
-    else this.drop(fingerprint);
+    else if (answered) this.drop(fingerprint);
+    else {
+      this.#suspects.set(fingerprint, { expiresAt: known.expiresAt, heldUntil: 0 });
+      this.#tell();
+    }
   }
 
   /**
--- a/packages/suspects/test/suspects.test.ts
+++ b/packages/suspects/test/suspects.test.ts
@@ -6,8 +6,14 @@
 
 const add: Step = (table) => table.add('f');
 const run: Step = (table) => table.acquire('f', 'a', 1000);
-const crash: Step = (table) => table.release('f', 'a', true);
-const end: Step = (table) => table.release('f', 'a', false);
+const ends = {
+  crashed: { crashed: true, answered: false },
+  answered: { crashed: false, answered: true },
+  neither: { crashed: false, answered: false },
+};
+const crash: Step = (table) => table.release('f', 'a', ends.crashed);
+const end: Step = (table) => table.release('f', 'a', ends.answered);
+const refuse: Step = (table) => table.release('f', 'a', ends.neither);
 const wait =
   (ms: number): Step =>
   (_table, clock) =>
@@ -21,6 +27,8 @@
     { name: 'does not ban after crashes in company', steps: [add, add, add], standing: 'suspect' },
     { name: 'bans after a crash alone', steps: [add, run, crash], standing: 'banned' },
     { name: 'clears after a good end', steps: [add, run, end], standing: 'clear' },
+    // Guards against a clearing by a run that was refused a slot or timed out.
+    { name: 'learns nothing without an answer', steps: [add, run, refuse], standing: 'suspect' },
     { name: 'needs permission for a ban', steps: [add, crash], standing: 'suspect' },
     { name: 'keeps a ban', steps: [add, run, crash, add, run, end], standing: 'banned' },
     { name: 'ends a ban', steps: [add, run, crash, wait(600_000)], standing: 'clear' },
@@ -46,10 +54,10 @@
     clock.advance(1000);
     expect(table.acquire('f', 'b', 1000)).toBe('run');
     // The word of a holder whose permission has passed on decides nothing.
-    table.release('f', 'a', true);
+    table.release('f', 'a', ends.crashed);
     expect(table.find('f')).toBe('suspect');
     const change = table.waitForChange(new AbortController().signal);
-    table.release('f', 'b', false);
+    table.release('f', 'b', ends.answered);
     await change;
     expect(table.acquire('f', 'c', 1000)).toBe('clear');
   });
