--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,19 +1,21 @@
 #!/usr/bin/env node
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
-import { pathScenario } from './path.js';
+import { crashingScenario } from './crashing.js';
 import { crestScenario } from './crest.js';
 import { holScenario } from './hol.js';
 import { measureScenario } from './measure.js';
+import { pathScenario } from './path.js';
 import { tailScenario } from './tail.js';
 import { isMet, writeFigures } from './scenario.js';
 import type { Scenario } from './scenario.js';
 
 const scenarios: readonly Scenario[] = [
-  pathScenario,
+  crashingScenario,
   crestScenario,
   holScenario,
   measureScenario,
+  pathScenario,
   tailScenario,
 ];
 
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -13,12 +13,14 @@
 import { OperatorDesk } from './desk.js';
 import { PlatformDocuments } from './documents.js';
 import { Fleet } from './fleet.js';
-import { OperatorServer } from './operator.js';
 import { Listing } from './listing.js';
+import { FleetOnce } from './once.js';
+import { OperatorServer } from './operator.js';
 import { FleetMembers, makeIncarnation } from './peers.js';
 import { Prober } from './probes.js';
 import { ReadyGate } from './ready.js';
 import { ConfigSpread } from './spread.js';
+import { FleetSuspects } from './suspects.js';
 
 const nameSchema = z
   .string()
@@ -146,7 +148,10 @@
   metrics,
   listServices: () => config.inForce.services,
 });
-const calls = new CallPath(config, balancer, log, metrics);
+const identity = { instance, incarnation };
+const once = new FleetOnce({ identity, hub, members, platform, log, metrics }, settings.peerKey);
+const suspects = new FleetSuspects({ identity, hub, members, log, metrics });
+const calls = new CallPath(config, balancer, log, metrics, { once, suspects });
 const gate = new ReadyGate(config, members);
 const callers = new CallerServer((call) =>
   gate.isOpen ? calls.serve(call) : gate.refuse(call.response),
@@ -157,6 +162,7 @@
   config,
   documents: new PlatformDocuments(platform),
   fleet: new Fleet(hub, members, config),
+  suspects,
   log,
   metrics,
 });
