--- a/packages/configuration/src/text.ts
+++ b/packages/configuration/src/text.ts
@@ -1,7 +1,7 @@
 import type { Change } from './commands.js';
 
 /** Words that need no quotes in the command language. */
-const plainWord = /^[^\s,=!#"]+$/;
+const plainWord = /^[^\s,=!;#"<>]+$/;
 
 const ruleWords = [
   ['methods', 'methods'],
--- /dev/null
+++ b/packages/settings/test/settings.test.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from 'vitest';
+import { z } from 'zod';
+import { readSettings, settingSchemas } from '../src/settings.js';
+
+const shape = {
+  callerPort: { describe: 'Port', schema: settingSchemas.port.default(8080) },
+  ip: { describe: 'Address', schema: settingSchemas.ip.default('127.0.0.1') },
+  waitMs: { describe: 'Wait', schema: settingSchemas.milliseconds.default(5) },
+  platform: { describe: 'Platform', schema: settingSchemas.address },
+  token: { describe: 'Token', schema: z.string().min(16, 'must be long').optional(), secret: true },
+  json: { describe: 'JSON', schema: settingSchemas.switch.default(false), switch: true },
+};
+const program = { name: 'prog', version: '1.2.3', describe: 'A program.' };
+const platform = ['--platform', '10.0.0.1:8500'];
+
+async function read(args: readonly string[], env: NodeJS.ProcessEnv = {}, rest?: string) {
+  return readSettings({ ...program, ...(rest ? { rest } : {}) }, shape, args, env);
+}
+
+describe('settings', () => {
+  /** Guards the order of sources: flag, variable, default. */
+  it.each([
+    { args: [], env: {}, expected: { callerPort: 8080, json: false } },
+    { args: [], env: { DOTTERELPASS_CALLER_PORT: '81' }, expected: { callerPort: 81 } },
+    {
+      args: ['--caller-port', '82', '--json'],
+      env: { DOTTERELPASS_CALLER_PORT: '81' },
+      expected: { callerPort: 82, json: true },
+    },
+    { args: [], env: { DOTTERELPASS_JSON: 'true' }, expected: { json: true } },
+    { args: [], env: { DOTTERELPASS_INSTANCE: 'other', HOME: '/' }, expected: {} },
+  ])('reads $args and $env', async ({ args, env, expected }) => {
+    expect(await read([...platform, ...args], env)).toMatchObject({
+      kind: 'values',
+      values: expected,
+    });
+  });
+
+  /** Guards the error texts: they name the flag and what is legal, and never a secret. */
+  it.each([
+    { args: [], parts: ['--platform', 'DOTTERELPASS_PLATFORM', 'must be given'] },
+    { args: ['--caller-port', '70000'], parts: ['--caller-port', '0 to 65535', '"70000"'] },
+    { args: ['--caller-port', ''], parts: ['--caller-port', '0 to 65535'] },
+    { args: ['--caller-port', '1', '--caller-port', '2'], parts: ['--caller-port'] },
+    { args: ['--ip', 'localhost'], parts: ['--ip', 'IPv4', '"localhost"'] },
+    { args: ['--wait-ms', 'soon'], parts: ['--wait-ms', 'milliseconds'] },
+    { args: ['--token', 'hunter2'], parts: ['--token', 'must be long', 'not shown'] },
+    { args: ['--plattform', 'x'], parts: ['plattform'] },
+    { args: ['stray'], parts: ['"stray"', 'not a flag'] },
+    {
+      args: [],
+      env: { DOTTERELPASS_CALLER_PROT: '1' },
+      parts: ['DOTTERELPASS_CALLER_PROT', 'did you mean DOTTERELPASS_CALLER_PORT'],
+    },
+  ])('refuses $args', async ({ args, parts, env = {} }) => {
+    const given = parts.includes('must be given') ? args : [...platform, ...args];
+    const result = await read(given, env);
+    const text = result.kind === 'error' ? result.message : `no error: ${result.kind}`;
+    parts.forEach((part) => expect(text).toContain(part));
+    expect(text).not.toContain('hunter2');
+  });
+
+  /** Guards `--help` and `--version`, which run nothing. */
+  it.each([
+    { flag: '--version', part: '1.2.3' },
+    { flag: '--help', part: '--caller-port' },
+  ])('answers $flag', async ({ flag, part }) => {
+    const result = await read([flag]);
+    expect(result.kind === 'text' && result.text).toContain(part);
+  });
+
+  /** Guards programs that take arguments besides flags. */
+  it('keeps other arguments when the program has a use for them', async () => {
+    const result = await read([...platform, 'show', 'services'], {}, '[statement]');
+    expect(result).toMatchObject({ kind: 'values', rest: ['show', 'services'] });
+  });
+});
