--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
+import { broadcastScenario } from './broadcast.js';
 import { pathScenario } from './path.js';
 import { isMet, writeFigures } from './scenario.js';
 import type { Scenario } from './scenario.js';
 
-const scenarios: readonly Scenario[] = [pathScenario];
+const scenarios: readonly Scenario[] = [pathScenario, broadcastScenario];
 
 const usage = `usage: npm run bench -- SCENARIO [--seed N] [--runs N] [--json FILE]
 
