Measure memory, messages and processor time of the parts of a process by size

`npm run bench -- slope` measures each part at several sizes and fits a line. The test of the digest exchange now starts from differences that no push can have spread: taking the pull out did not fail the test before.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,10 +3,11 @@
 import { parseArgs } from 'node:util';
 import { broadcastScenario } from './broadcast.js';
 import { pathScenario } from './path.js';
+import { slopeScenario } from './slope.js';
 import { isMet, writeFigures } from './scenario.js';
 import type { Scenario } from './scenario.js';
 
-const scenarios: readonly Scenario[] = [pathScenario, broadcastScenario];
+const scenarios: readonly Scenario[] = [pathScenario, broadcastScenario, slopeScenario];
 
 const usage = `usage: npm run bench -- SCENARIO [--seed N] [--runs N] [--json FILE]
 
--- /dev/null
+++ b/packages/bench/src/parts.ts
@@ -0,0 +1,341 @@
+import { InForce, documentSchema, readDocument, writeDocument } from '@dotterelpass/configuration';
+import type { ServiceDocument } from '@dotterelpass/configuration';
+import { CreditPool } from '@dotterelpass/credits';
+import { ConfigFeed, ConfigSpread, servicePrefix } from '@dotterelpass/entry';
+import type { SpreadHub } from '@dotterelpass/entry';
+import { Detector, toBody } from '@dotterelpass/membership';
+import type { Message } from '@dotterelpass/membership';
+import { ClaimTable } from '@dotterelpass/once';
+import { Metrics, openLog } from '@dotterelpass/telemetry';
+import { ManualClock, makeRandom, systemClock } from '@dotterelpass/values';
+import type { Incarnation, InstanceId, ServiceId } from '@dotterelpass/values';
+import { encode } from 'cbor-x';
+import { ok } from 'neverthrow';
+import { measureMemory, measureProcessor } from './measure.js';
+import type { Part } from './measure.js';
+
+/** Bytes of a TLS record and of the TCP and IP headers around one small message. */
+const frameBytes = 29 + 52;
+
+const incarnation = '1700000000000-0123abcd' as Incarnation;
+
+/** The parts of an entry instance whose cost depends on a size of the fleet. */
+export const parts: readonly Part[] = [
+  { name: 'detector', size: 'member', measure: measureDetector },
+  { name: 'documents', size: 'document', measure: measureDocuments },
+  { name: 'endpoints', size: 'endpoint', measure: measureEndpoints },
+  { name: 'homes', size: 'member', measure: measureHomes },
+  { name: 'loads', size: 'endpoint', measure: measureLoads },
+  { name: 'claims', size: 'key', measure: measureClaims },
+];
+
+async function measureDetector(seed: number) {
+  const rows: Awaited<ReturnType<typeof measureDetectors>>[] = [];
+  for (const size of [5, 20, 40, 80, 200]) rows.push(await measureDetectors(size, seed));
+  return [
+    { name: 'memory', unit: 'KB', points: rows.map(({ memory }) => memory) },
+    { name: 'processor', unit: 'ms/s', points: rows.map(({ processor }) => processor) },
+    { name: 'messages sent', unit: '1/s', points: rows.map(({ messages }) => messages) },
+    { name: 'bytes sent', unit: 'KB/s', points: rows.map(({ bytes }) => bytes) },
+    { name: 'bytes sent while all join', unit: 'KB/s', points: rows.map((row) => row.joining) },
+  ];
+}
+
+interface Hub {
+  readonly detectors: ReadonlyMap<string, Detector>;
+  /** Messages and bytes sent by all of them. */
+  readonly sent: { messages: number; bytes: number };
+  run(ms: number): void;
+}
+
+async function measureDetectors(size: number, seed: number) {
+  const copies = Math.ceil(200 / size);
+  const memory = measureMemory(() => {
+    const hub = makeDetectors(size, seed);
+    hub.run(5000);
+    return hub;
+  }, copies);
+  const hub = makeDetectors(size, seed);
+  const joining = await measureBytes(hub, size, 4);
+  // News of 200 members that join at once is told for about a minute.
+  hub.run(60_000);
+  const seconds = 4;
+  const milliseconds = await measureProcessor(() => hub.run(seconds * 1000));
+  const settled = await measureBytes(hub, size, seconds);
+  return {
+    memory: { size, value: memory / size / 1024 },
+    processor: { size, value: milliseconds / size / seconds },
+    messages: { size, value: settled.messages },
+    bytes: { size, value: settled.bytes },
+    joining: { size, value: joining.bytes },
+  };
+}
+
+async function measureBytes({ sent, run }: Hub, size: number, seconds: number) {
+  const before = { ...sent };
+  run(seconds * 1000);
+  return {
+    messages: (sent.messages - before.messages) / size / seconds,
+    bytes: (sent.bytes - before.bytes) / 1024 / size / seconds,
+  };
+}
+
+/** Makes detectors that reach each other in this process, on a clock of their own. */
+function makeDetectors(size: number, seed: number): Hub {
+  const clock = new ManualClock();
+  const random = makeRandom(seed);
+  const names = Array.from({ length: size }, (_, n) => `entry-${n}` as InstanceId);
+  const detectors = new Map<string, Detector>();
+  const sent = { messages: 0, bytes: 0 };
+  let queue: (() => void)[] = [];
+  const post = (from: string, to: string, message: Message) => {
+    const item = { type: message.kind, from, incarnation, body: toBody(message) };
+    sent.messages += 1;
+    sent.bytes += frameBytes + encode(item).length;
+    queue.push(() => {
+      const answer = detectors.get(to)?.receive(message);
+      if (answer) post(to, from, answer);
+    });
+  };
+  const hub: Hub = {
+    detectors,
+    sent,
+    run(ms) {
+      for (let passed = 0; passed < ms; passed += 25) {
+        clock.advance(25);
+        detectors.forEach((detector) => detector.advance());
+        for (let turn = 0; turn < 4; turn++) {
+          const due = queue;
+          queue = [];
+          due.forEach((deliver) => deliver());
+        }
+      }
+    },
+  };
+  for (const name of names) {
+    const transport = {
+      send: (to: { instance: InstanceId }, message: Message) => post(name, to.instance, message),
+    };
+    const self = { instance: name, incarnation, address: '10.0.0.1:7070' };
+    const own = makeRandom(Math.floor(random.next() * 2 ** 31));
+    const detector = new Detector(self, transport, clock, own);
+    detector.setNames(new Map(names.slice(0, 3).map((other) => [other, '10.0.0.1:7070'])));
+    detectors.set(name, detector);
+  }
+  return hub;
+}
+
+async function measureDocuments() {
+  interface Row {
+    readonly size: number;
+    readonly memory: number;
+    readonly watch: number;
+    readonly digest: number;
+    readonly exchanged: number;
+    readonly answerBytes: number;
+  }
+  const rows: Row[] = [];
+  for (const size of [1, 50, 100, 200, 410]) {
+    const texts = makeDocuments(size, 10).map(writeDocument);
+    const log = openLog('slope');
+    let exchanged = 0;
+    const handlers = new Map<string, Parameters<SpreadHub['handle']>[1]>();
+    const hub: SpreadHub = {
+      handle: (type, handler) => handlers.set(type, handler),
+      send: () => undefined,
+      async request(_peer, type, body) {
+        const answer = await handlers.get(type)?.(body, {
+          instance: 'a' as InstanceId,
+          incarnation,
+        });
+        exchanged += encode(body).length + encode(answer).length + 2 * (frameBytes + 60);
+        return ok(answer ?? {});
+      },
+    };
+    const feed = new ConfigFeed(
+      { read: async () => ok({ entries: [], index: 1 }) },
+      log,
+      new Metrics(),
+    );
+    const members = {
+      self: 'a' as InstanceId,
+      live: ['a', 'b'] as InstanceId[],
+      findIncarnation: () => incarnation,
+      watch: () => undefined,
+    };
+    const spread = new ConfigSpread(feed, hub, members, log, new Metrics());
+    const entries = texts.map((value, n) => ({
+      key: `${servicePrefix}service-${n}`,
+      value,
+      modifyIndex: 1,
+    }));
+    const memory = measureMemory(() => {
+      const held = new InForce();
+      texts.forEach((text) => readDocument(text).map((document) => held.offer(document)));
+      return held;
+    }, 4);
+    feed.receiveReading({ entries, index: 1 }, feed.startReading());
+    const watch = await measureProcessor(() => {
+      for (let n = 0; n < 5; n++) feed.receiveReading({ entries, index: 1 }, feed.startReading());
+    });
+    const digest = await measureProcessor(async () => {
+      for (let n = 0; n < 200; n++) await spread.checkPeer('b' as InstanceId);
+    });
+    const answerBytes = texts.reduce((sum, text) => sum + 100 + (text.length * 4) / 3, 0);
+    rows.push({
+      size,
+      memory,
+      watch: watch / 5,
+      digest: digest / 200,
+      exchanged: exchanged / 200,
+      answerBytes,
+    });
+  }
+  const list = (pick: (row: Row) => number) =>
+    rows.map((row) => ({ size: row.size, value: pick(row) }));
+  return [
+    { name: 'memory in force', unit: 'KB', points: list(({ memory }) => memory / 1024) },
+    { name: 'processor per watch answer', unit: 'ms', points: list(({ watch }) => watch) },
+    {
+      name: 'bytes per watch answer',
+      unit: 'KB',
+      points: list(({ answerBytes }) => answerBytes / 1024),
+    },
+    {
+      name: 'processor per digest exchange, both sides',
+      unit: 'ms',
+      points: list(({ digest }) => digest),
+    },
+    {
+      name: 'bytes per digest exchange',
+      unit: 'KB',
+      points: list(({ exchanged }) => exchanged / 1024),
+    },
+  ];
+}
+
+async function measureEndpoints() {
+  const services = 40;
+  const points = [10, 40, 400, 1000, 2000, 4000].map((size) => {
+    const documents = makeDocuments(services, Math.ceil(size / services), 1);
+    const texts = documents.map((document) => JSON.stringify(document));
+    const memory = measureMemory(() => {
+      const inForce = new InForce();
+      texts.forEach((text) => inForce.offer(documentSchema.parse(JSON.parse(text))));
+      return inForce;
+    }, 8);
+    return { size: services * Math.ceil(size / services), value: memory / 1024 };
+  });
+  return [{ name: 'memory in force', unit: 'KB', points: points.slice(1) }];
+}
+
+async function measureHomes() {
+  const endpoints = Array.from({ length: 100 }, (_, n) => ({ id: `e-${n}` as never, slots: 3 }));
+  const rows = [];
+  for (const size of [5, 20, 40, 80, 200]) {
+    const live = Array.from({ length: size }, (_, n) => `entry-${n}` as InstanceId);
+    const pool = new CreditPool('status' as ServiceId, live[0] as InstanceId, systemClock, () => 3);
+    const milliseconds = await measureProcessor(() => pool.setMembers(endpoints, live));
+    const memory = measureMemory(() => {
+      const measured = new CreditPool(
+        'status' as ServiceId,
+        live[0] as InstanceId,
+        systemClock,
+        () => 3,
+      );
+      measured.setMembers(endpoints, live);
+      return measured;
+    }, 20);
+    rows.push({ size, milliseconds: milliseconds / 100, memory: memory / 100 / 1024 });
+  }
+  return [
+    {
+      name: 'processor per endpoint when membership changes',
+      unit: 'ms',
+      points: rows.map(({ size, milliseconds }) => ({ size, value: milliseconds })),
+    },
+    {
+      name: 'memory per endpoint',
+      unit: 'KB',
+      points: rows.map(({ size, memory }) => ({ size, value: memory })),
+    },
+  ];
+}
+
+/** The size of one `loads` message with 10 endpoints a service, all of them with calls. */
+async function measureLoads() {
+  const points = [10, 40, 400, 1000, 4000].map((size) => {
+    const services = Object.fromEntries(
+      Array.from({ length: size / 10 }, (_, n) => {
+        const calls = Array.from({ length: 10 }, (__, e) => [`service-${n}-${e}`, 1] as const);
+        const load = { free: 9, inFlight: 10, queued: 0, calls: Object.fromEntries(calls) };
+        return [`service-${n}`, load];
+      }),
+    );
+    const body = { at: 123_456.789, services, leaving: [] };
+    const bytes = frameBytes + encode({ type: 'loads', from: 'entry-1', incarnation, body }).length;
+    return { size, value: bytes / 1024 };
+  });
+  return [{ name: 'bytes of one loads message', unit: 'KB', points }];
+}
+
+async function measureClaims() {
+  const rows = [];
+  for (const size of [1000, 10_000, 50_000, 100_000, 200_000]) {
+    const clock = new ManualClock();
+    const holder = (attempt: number) => ({
+      instance: 'entry-1' as InstanceId,
+      incarnation,
+      attempt,
+    });
+    const fill = () => {
+      const table = new ClaimTable(clock);
+      for (let n = 0; n < size; n++) {
+        const key = `t1.entry-1.${incarnation}.${n}.1700000000000.0123456789abcdef0123456789abcdef`;
+        table.claim({ key, digest: `d-${n}`, holder: holder(n), givenUp: [] }, 3_600_000);
+        table.grant(key, holder(n));
+        table.settle(key, holder(n), { verdict: 'ran' });
+      }
+      return table;
+    };
+    const milliseconds = await measureProcessor(() => {
+      fill();
+    });
+    rows.push({ size, milliseconds, memory: measureMemory(fill) / 1024 });
+  }
+  return [
+    {
+      name: 'memory kept',
+      unit: 'KB',
+      points: rows.map(({ size, memory }) => ({ size, value: memory })),
+    },
+    {
+      name: 'processor for claim, grant and settle of all',
+      unit: 'ms',
+      points: rows.map(({ size, milliseconds }) => ({ size, value: milliseconds })),
+    },
+  ];
+}
+
+function makeDocuments(services: number, endpoints: number, decisions = 64): ServiceDocument[] {
+  return Array.from({ length: services }, (_, n) => {
+    const service = {
+      name: `service-${n}`,
+      routes: [{ pathPrefix: `/service-${n}` }],
+      endpoints: Array.from({ length: endpoints }, (__, e) => ({
+        id: `service-${n}-${e}`,
+        address: `10.${n % 250}.${Math.floor(e / 250)}.${e % 250}:8080`,
+        failureDomain: `domain-${e % 17}`,
+      })),
+      rules: [{ name: 'default', repeat: 'idempotent' }],
+    };
+    const history = Array.from({ length: decisions }, (__, d) => ({
+      commandId: `0123456789abcdef0123456789-${d}`,
+      author: 'operator-1',
+      atMs: 1_700_000_000_000 + d,
+      text: `drain service-${n} service-${n}-${d % 10}`,
+      revision: d + 1,
+    }));
+    return documentSchema.parse({ revision: decisions, service, history });
+  });
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,3 +6,6 @@
 export * from './documents.js';
 export * from './fleet.js';
 export * from './queries.js';
+export * from './listing.js';
+export * from './peers.js';
+export * from './spread.js';
--- a/packages/entry/src/spread.ts
+++ b/packages/entry/src/spread.ts
@@ -42,6 +42,9 @@
 
 type Revisions = z.infer<typeof revisionsSchema>;
 
+/** The part of the links to peers that the spread uses. */
+export type SpreadHub = Pick<PeerHub, 'handle' | 'send' | 'request'>;
+
 /**
  * Spreads configuration between entry instances: tells peers of newer revisions at once, and
  * compares with one peer from time to time. Whoever lacks a revision pulls the document.
@@ -49,7 +52,7 @@
 export class ConfigSpread {
   readonly #feed: ConfigFeed;
 
-  readonly #hub: PeerHub;
+  readonly #hub: SpreadHub;
 
   readonly #members: Members;
 
@@ -70,7 +73,7 @@
    * @param log - Where failures are told.
    * @param metrics - Where pulls are counted.
    */
-  constructor(feed: ConfigFeed, hub: PeerHub, members: Members, log: Log, metrics: Metrics) {
+  constructor(feed: ConfigFeed, hub: SpreadHub, members: Members, log: Log, metrics: Metrics) {
     this.#feed = feed;
     this.#hub = hub;
     this.#members = members;
@@ -86,7 +89,7 @@
   async run(): Promise<void> {
     while (!this.#stopped) {
       const peers = this.#peers;
-      if (peers.length > 0) await this.#compare(pickOne(systemRandom, peers));
+      if (peers.length > 0) await this.checkPeer(pickOne(systemRandom, peers));
       const meanMs = this.#feed.ready ? digestMs : firstDigestMs;
       await sleep(meanMs * (0.5 + systemRandom.next()));
     }
@@ -97,6 +100,27 @@
     this.#stopped = true;
   }
 
+  /**
+   * Compares with one peer now, pulls what is newer there and tells it what is newer here.
+   *
+   * @param peer - The peer.
+   */
+  async checkPeer(peer: InstanceId): Promise<void> {
+    const buckets = this.#makeBuckets();
+    const answer = await this.#hub.request(peer, 'config-digest', { buckets }, requestTimeoutMs);
+    if (answer.isErr()) return;
+    const parsed = digestAnswerSchema.safeParse(answer.value);
+    if (!parsed.success) return;
+    const { ready, differing, revisions } = parsed.data;
+    const theirs = new Map(revisions);
+    const newer = this.#listRevisions(differing).filter(
+      ([service, revision]) => revision > (theirs.get(service) ?? 0),
+    );
+    if (newer.length > 0) this.#hub.send(peer, 'config-push', { revisions: newer });
+    const complete = await this.#pull(peer, revisions);
+    if (ready && complete) this.#feed.setReady();
+  }
+
   get #peers(): readonly InstanceId[] {
     return this.#members.live.filter((instance) => instance !== this.#members.self);
   }
@@ -137,22 +161,6 @@
     return { documents };
   }
 
-  async #compare(peer: InstanceId): Promise<void> {
-    const buckets = this.#makeBuckets();
-    const answer = await this.#hub.request(peer, 'config-digest', { buckets }, requestTimeoutMs);
-    if (answer.isErr()) return;
-    const parsed = digestAnswerSchema.safeParse(answer.value);
-    if (!parsed.success) return;
-    const { ready, differing, revisions } = parsed.data;
-    const theirs = new Map(revisions);
-    const newer = this.#listRevisions(differing).filter(
-      ([service, revision]) => revision > (theirs.get(service) ?? 0),
-    );
-    if (newer.length > 0) this.#hub.send(peer, 'config-push', { revisions: newer });
-    const complete = await this.#pull(peer, revisions);
-    if (ready && complete) this.#feed.setReady();
-  }
-
   /** @returns Whether this instance has the given revisions now, or newer ones. */
   async #pull(peer: InstanceId, revisions: Revisions): Promise<boolean> {
     const wanted = revisions.filter(
--- a/packages/entry/test/fleet.ts
+++ b/packages/entry/test/fleet.ts
@@ -43,16 +43,21 @@
   return { name: identity.instance, hub, members, feed, spread, address, events };
 }
 
-/** Opens nodes that know each other as seeds. */
+/** Opens nodes that know each other. */
 export async function openNodes(names: readonly string[]): Promise<readonly Node[]> {
   const nodes = await Promise.all(names.map((name) => openNode(name)));
+  await joinNodes(nodes);
+  return nodes;
+}
+
+/** Makes nodes known to each other as seeds, and waits until all count as live. */
+export async function joinNodes(nodes: readonly Node[]): Promise<void> {
   const seeds = new Map(nodes.map(({ name, address }) => [name, address]));
   nodes.forEach(({ members, address }) => {
     members.setNames(seeds);
     members.start(address);
   });
   await waitUntil(() => nodes.every(({ members }) => members.live.length === nodes.length));
-  return nodes;
 }
 
 /** Makes a document whose history has one decision for each revision. */
--- a/packages/entry/test/spread.test.ts
+++ b/packages/entry/test/spread.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, it } from 'vitest';
-import { findRevision, makeDocument, openNode, openNodes, waitUntil } from './fleet.js';
+import { findRevision, joinNodes, makeDocument, openNode, openNodes, waitUntil } from './fleet.js';
 import type { Node } from './fleet.js';
 
 let nodes: readonly Node[] = [];
@@ -35,13 +35,14 @@
 
   /** Guards the digest: what a push did not reach is found and pulled, in both directions. */
   it('finds differences by digests and pulls them', async () => {
-    await open(2);
-    const [a, b] = nodes as [Node, Node];
-    // More documents than one push message would name, and each side lacks half of them.
+    const [a, b] = [await openNode('n0'), await openNode('n1')];
+    nodes = [a, b];
+    // Nobody is known yet, so that no push can spread these.
     for (let n = 0; n < 30; n++) {
-      a.feed.inForce.offer(makeDocument(`left-${n}`, 1));
-      b.feed.inForce.offer(makeDocument(`right-${n}`, 2));
+      a.feed.offer(makeDocument(`left-${n}`, 1), 'operator');
+      b.feed.offer(makeDocument(`right-${n}`, 2), 'operator');
     }
+    await joinNodes(nodes);
     void a.spread.run();
     await waitUntil(() => a.feed.digests.length === 60 && b.feed.digests.length === 60);
     expect(findRevision(a, 'right-7')).toBe(2);
