Take test ports below the range of outgoing connections

A port that was free when it was chosen could be taken by an outgoing connection before its program listened: an endpoint of the demo ended with EADDRINUSE on a busy machine. Ports now come from below 32768, each starting process from a slice of its own.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -2,7 +2,6 @@
 import type { ChildProcess } from 'node:child_process';
 import { request } from 'node:http';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { fileURLToPath } from 'node:url';
 
 /** Programs of this repository that tests, the demo and the bench start. */
@@ -84,17 +83,37 @@
   return fileURLToPath(import.meta.resolve(`${programs[program]}/main`));
 }
 
-/** @returns A free loopback port. */
+/**
+ * Ports are taken below the range from which Linux takes those of outgoing connections (32768
+ * and up): one of those can be taken again before the program that is to listen has started.
+ */
+const firstPort = 10_000;
+
+/** Processes that start programs at the same time take their ports from slices of their own. */
+const portsPerSlice = 200;
+const portSlices = 110;
+
+let nextPort = 0;
+
+/** @returns A loopback port on which nothing listens. */
 export async function findPort(): Promise<number> {
+  const slice = firstPort + (process.pid % portSlices) * portsPerSlice;
+  for (let tried = 0; tried < portsPerSlice; tried++) {
+    const port = slice + (nextPort % portsPerSlice);
+    nextPort += 1;
+    if (await isFree(port)) return port;
+  }
+  throw new Error(`no free port from ${slice} to ${slice + portsPerSlice - 1}`);
+}
+
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
+    });
   });
-  return port;
 }
 
 /**
