--- a/examples/embed.js
+++ b/examples/embed.js
@@ -1,5 +1,7 @@
 // Decides about three calls in one process, without sockets: which endpoint answers next, which
 // call is refused at once, and whether a request with a ticket may run again.
+import { Buffer } from 'node:buffer';
+import process from 'node:process';
 import { AdmissionQueue } from '@dotterelpass/admission';
 import { TicketMint } from '@dotterelpass/once';
 import { CreditPolicy, Health } from '@dotterelpass/selection';
