--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -13,9 +13,14 @@
 import { OperatorDesk } from './desk.js';
 import { PlatformDocuments } from './documents.js';
 import { Fleet } from './fleet.js';
+import { Listing } from './listing.js';
+import { FleetOnce } from './once.js';
 import { OperatorServer } from './operator.js';
+import { FleetMembers, makeIncarnation } from './peers.js';
 import { Prober } from './probes.js';
-import { ConfiguredMembers, makeIncarnation } from './peers.js';
+import { ReadyGate } from './ready.js';
+import { ConfigSpread } from './spread.js';
+import { FleetSuspects } from './suspects.js';
 
 const nameSchema = z
   .string()
@@ -61,6 +66,11 @@
           ),
         ),
     },
+    peerAddress: {
+      describe:
+        'IP address and port at which peers reach this instance, if not those it listens on',
+      schema: settingSchemas.address.optional(),
+    },
     platform: {
       describe: 'IP address and port of the platform',
       schema: settingSchemas.address,
@@ -109,18 +119,23 @@
   },
 );
 
-/** Time between checks of the configured peers, in milliseconds. */
-const refreshMs = 500;
-
 setLogLevel(settings.logLevel);
 const log = openLog('entry', { instance: settings.instance });
 const metrics = new Metrics({ instance: settings.instance });
 const instance = toName<InstanceId>(settings.instance);
 const incarnation = makeIncarnation();
 const hub = new PeerHub({ instance, incarnation }, settings.peerKey, log);
-const members = new ConfiguredMembers(instance, incarnation, hub);
+const members = new FleetMembers({ instance, incarnation }, hub, log, metrics);
 const platform = new PlatformClient(settings.platform);
 const config = new ConfigFeed(platform, log, metrics);
+const spread = new ConfigSpread(config, hub, members, log, metrics);
+const seeds = new Map(
+  settings.peers.map((peer) => {
+    const [name = '', address = ''] = peer.split('=');
+    return [toName<InstanceId>(name), address];
+  }),
+);
+const listing = new Listing(platform, members, seeds, log);
 const balancer = new Balancer({
   hub,
   members,
@@ -133,18 +148,25 @@
   metrics,
   listServices: () => config.inForce.services,
 });
-const calls = new CallPath(config, balancer, log, metrics);
-const callers = new CallerServer((request, response) => calls.serve(request, response));
+const identity = { instance, incarnation };
+const once = new FleetOnce({ identity, hub, members, platform, log, metrics }, settings.peerKey);
+const suspects = new FleetSuspects({ identity, hub, members, log, metrics });
+const calls = new CallPath(config, balancer, log, metrics, { once, suspects });
+const gate = new ReadyGate(config, members);
+const callers = new CallerServer((call) =>
+  gate.isOpen ? calls.serve(call) : gate.refuse(call.response),
+);
 let stopping = false;
 const desk = new OperatorDesk({
   token: settings.operatorToken,
   config,
   documents: new PlatformDocuments(platform),
   fleet: new Fleet(hub, members, config),
+  suspects,
   log,
   metrics,
 });
-const operators = new OperatorServer(metrics, () => config.ready && !stopping, desk);
+const operators = new OperatorServer(metrics, () => gate.isReady && !stopping, desk);
 
 metrics.addGauge('calls_in_flight', 'Calls that have not been answered yet.', () => callers.active);
 metrics.addGauge('calls_queued', 'Calls that wait for a slot.', () => balancer.queued);
@@ -162,19 +184,20 @@
   recordLeaving: (address) => balancer.recordLeaving(address),
 });
 
+balancer.setReportSource((service, endpoint) => prober.requestReport(service, endpoint));
 balancer.start();
 prober.start();
 void config.run();
 const peerPort = await hub.open(settings.peerIp, settings.peerPort);
-for (const peer of settings.peers) {
-  const [name = '', address = ''] = peer.split('=');
-  hub.setAddress(toName<InstanceId>(name), address);
-}
-setInterval(() => {
-  void members.refresh();
-}, refreshMs).unref();
+const peerAddress = settings.peerAddress ?? `${settings.peerIp}:${peerPort}`;
+members.start(peerAddress);
+void spread.run();
 const operatorPort = await operators.open(settings.operatorIp, settings.operatorPort);
 const callerPort = await callers.open(settings.ip, settings.callerPort);
+void listing.run(
+  { id: instance, address: settings.ip, port: callerPort, meta: { incarnation } },
+  peerAddress,
+);
 log.info('started', {
   callerPort,
   operatorPort,
@@ -189,13 +212,20 @@
 
 async function stop(): Promise<void> {
   stopping = true;
-  log.info('stopping', { active: callers.active });
+  log.info('stopping', { active: calls.active });
+  callers.startDraining();
   // The platform's balancer needs this time to see that the instance is not ready.
   await new Promise((resolve) => {
     setTimeout(resolve, settings.stopWaitMs);
   });
-  await callers.close(settings.stopMaxMs);
+  const maxMs = Math.min(settings.stopMaxMs, calls.longestDeadlineMs);
+  const closeBy = performance.now() + maxMs;
+  await callers.close(maxMs);
+  // A `once` call whose caller has left goes on, so that its result can be settled.
+  await calls.waitForEnd(closeBy - performance.now());
   config.stop();
+  spread.stop();
+  await Promise.all([members.leave(), listing.stop()]);
   hub.close();
   prober.stop();
   balancer.close();
