--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,17 @@
 #!/usr/bin/env node
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
+import { broadcastScenario } from './broadcast.js';
+import { crashingScenario } from './crashing.js';
+import { crestScenario } from './crest.js';
+import { holScenario } from './hol.js';
+import { measureScenario } from './measure.js';
+import { pathScenario } from './path.js';
+import { slopeScenario } from './slope.js';
+import { tailScenario } from './tail.js';
+import { isMet, writeFigures } from './scenario.js';
+import type { Scenario } from './scenario.js';
+
 const scenarios: readonly Scenario[] = [
   broadcastScenario,
   crashingScenario,
