--- a/packages/bench/src/crashing.ts
+++ b/packages/bench/src/crashing.ts
@@ -7,10 +7,11 @@
 export interface CrashReport {
   /** Endpoints that have crashed. */
   readonly lost: number;
-  /** Other requests that were answered, out of those sent. */
-  readonly answered: number;
+  /** Other requests that were sent. */
   readonly sent: number;
-  /** What the others were told. */
+  /** Those that were answered when first sent; the budget for retries may not allow for all. */
+  readonly atOnce: number;
+  /** What those were told that were never answered, though they were sent again. */
   readonly refusals: readonly string[];
   /** Answers to the last sending of the request that crashes endpoints. */
   readonly last: string;
@@ -18,6 +19,8 @@
 
 const sendings = 6;
 const pauseMs = 150;
+const innocentTries = 3;
+const warmCalls = 300;
 const service = 'status';
 
 /**
@@ -30,18 +33,15 @@
 export async function runCrashing(fleet: Fleet, innocents: number): Promise<CrashReport> {
   const ports = fleet.entries.map(({ callerPort }) => callerPort);
   const pick = (index: number) => ports[index % ports.length] as number;
-  const others: Promise<string>[] = [];
+  const others: Promise<readonly string[]>[] = [];
   let last = '';
+  // Retries are a share of recent calls, so a fleet without traffic would allow none.
+  for (let index = 0; index < warmCalls; index++) await call(pick(index), `/${service}/warm?ms=0`);
   for (let sending = 0; sending < sendings; sending++) {
     for (let index = 0; index < innocents; index++) {
-      // Each path is sent once, so that a ban of it would show as a lost answer.
+      // Each path is of one caller, so that a ban of it would show as a missing answer.
       const path = `/${service}/${sending}-${index}?ms=50`;
-      others.push(
-        call(pick(index), path).then(
-          ({ status, body }) => (status === 200 ? '' : `${status} ${body.toString()}`),
-          String,
-        ),
-      );
+      others.push(sendInnocent(pick(index), path));
     }
     const options = { method: 'GET', timeoutMs: 5000 };
     const reply = await call(pick(sending), `/${service}/poison?crash`, options).catch(
@@ -55,13 +55,27 @@
     running.process.exitCode !== null;
   return {
     lost: fleet.findEndpoints(service).filter(isLost).length,
-    answered: answers.filter((text) => text === '').length,
     sent: answers.length,
-    refusals: answers.filter((text) => text !== ''),
+    atOnce: answers.filter((refusals) => refusals.length === 0).length,
+    refusals: answers.filter(({ length }) => length === innocentTries).flat(),
     last,
   };
 }
 
+/** @returns What the caller was told before the answer. */
+async function sendInnocent(port: number, path: string): Promise<readonly string[]> {
+  const refusals: string[] = [];
+  while (refusals.length < innocentTries) {
+    const reply = await call(port, path).catch(String);
+    if (typeof reply === 'string') refusals.push(reply);
+    else if (reply.status === 200) return refusals;
+    else refusals.push(`${reply.status} ${reply.body.toString()}`);
+    const retryAfter = typeof reply === 'string' ? undefined : reply.headers['retry-after'];
+    await sleep(retryAfter === undefined ? pauseMs : Number(retryAfter) * 1000);
+  }
+  return refusals;
+}
+
 /** Counts endpoints that one request can crash, and the other requests that are answered. */
 export const crashingScenario: Scenario = {
   name: 'crashing',
@@ -69,15 +83,18 @@
   async run(options) {
     const lost: number[] = [];
     const answered: number[] = [];
+    const atOnce: number[] = [];
     for (let run = 0; run < options.runs; run++) {
       const report = await runOne();
       lost.push(report.lost);
-      answered.push(report.answered / report.sent);
+      answered.push(1 - report.refusals.length / innocentTries / report.sent);
+      atOnce.push(report.atOnce / report.sent);
       options.tell(`run ${run + 1}: ${JSON.stringify(report)}`);
     }
     const figures: Figure[] = [
       { name: 'endpoints lost', unit: '', values: lost, target: { atMost: 2 } },
       { name: 'other requests answered', unit: 'share', values: answered, target: { atLeast: 1 } },
+      { name: 'of these when first sent', unit: 'share', values: atOnce },
     ];
     return figures;
   },
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,12 +2,13 @@
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { crashingScenario } from './crashing.js';
+import { onceScenario } from './once.js';
 import { pathScenario } from './path.js';
 import { tailScenario } from './tail.js';
 import { isMet, writeFigures } from './scenario.js';
 import type { Scenario } from './scenario.js';
 
-const scenarios: readonly Scenario[] = [pathScenario, tailScenario, crashingScenario];
+const scenarios: readonly Scenario[] = [pathScenario, tailScenario, crashingScenario, onceScenario];
 
 const usage = `usage: npm run bench -- SCENARIO [--seed N] [--runs N] [--json FILE]
 
--- a/packages/bench/test/once.test.ts
+++ b/packages/bench/test/once.test.ts
@@ -1,5 +1,6 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { deployments } from '../src/deployment.js';
+import { runCrashing } from '../src/crashing.js';
 import { Fleet } from '../src/fleet.js';
 import { runHistory } from '../src/history.js';
 
@@ -35,3 +36,20 @@
     expect(sendings.some(({ replayed }) => replayed)).toBe(true);
   });
 });
+
+describe('a request that crashes each endpoint that runs it', () => {
+  // Guards against the loss of a pool to one request, and against a ban of its neighbours.
+  it('costs at most two endpoints and bans no other request', async () => {
+    const services = [{ ...deployments.quispe.services[0], workers: 6 }];
+    const fleet = await Fleet.open({ deployment: { ...deployments.quispe, services }, entries: 3 });
+    try {
+      const { lost, refusals, last } = await runCrashing(fleet, 8);
+      expect(lost).toBeLessThanOrEqual(2);
+      // A neighbour may find no room in the budget for retries; the bench counts these.
+      expect(refusals.filter((text) => text.includes('has crashed endpoints'))).toEqual([]);
+      expect(last).toBe('503 may-have-run');
+    } finally {
+      await fleet.close();
+    }
+  });
+});
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -187,8 +187,10 @@
       fresh: isOnce,
       onInformation: (status) => sendInformation(call, status),
     });
+    // A request that no connection took cannot have crashed its endpoint, which was gone before.
+    const wasSent = sent.isOk() || sent.error.verdict !== 'not-run';
     const end = async (outcome: SlotOutcome): Promise<boolean> => {
-      const isLost = outcome.result === 'failed' && !call.gone.aborted;
+      const isLost = wasSent && outcome.result === 'failed' && !call.gone.aborted;
       const crashed = isLost && (await flights.checkCrash(address, slot.pool));
       flights.remove(address, call.fingerprint);
       slot.release(outcome);
--- a/packages/entry/src/flights.ts
+++ b/packages/entry/src/flights.ts
@@ -1,6 +1,9 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { EndpointPool } from '@dotterelpass/proxy';
 import type { SuspectGate } from './gates.js';
 
+const recheckMs = 50;
+
 /** Requests in flight by endpoint, so that a crash can be told with all that may have caused it. */
 export class Flights {
   readonly #suspects: SuspectGate | undefined;
@@ -50,7 +53,12 @@
 
   async #runCheck(address: string, pool: EndpointPool): Promise<boolean> {
     const fingerprints = [...(this.#inFlight.get(address)?.keys() ?? [])];
-    const crashed = await pool.isRefusing();
+    let crashed = await pool.isRefusing();
+    if (!crashed) {
+      // The port of a process that exits can take a connection after the others have ended.
+      await sleep(recheckMs);
+      crashed = await pool.isRefusing();
+    }
     if (crashed) this.#suspects?.reportCrash(address, fingerprints);
     return crashed;
   }
