--- a/packages/entry/src/desk.ts
+++ b/packages/entry/src/desk.ts
@@ -104,8 +104,8 @@
     } catch (error) {
       if (!(error instanceof BadRequest)) throw error;
       if (error.status === 401) response.setHeader('www-authenticate', 'Bearer');
-      // The rest of a body that was not read must not be taken for the next request.
-      if (!request.complete) response.setHeader('connection', 'close');
+      // A connection that is closed with unread data loses the answer, so the rest is read.
+      request.resume();
       sendJson(response, error.status, { error: error.reason, message: error.message });
     }
   }
