Bound the platform calls of the fleet and leave silent connections

When a call times out its idle neighbours are closed too, since they may be as silent. The log hides the operator token.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { PlatformClient } from '@dotterelpass/platform';
+import { PlatformClient, RateBudget } from '@dotterelpass/platform';
 import { PeerHub, minPeerKeyLength } from '@dotterelpass/peers';
 import { CallerServer } from '@dotterelpass/proxy';
 import { requireSettings, settingSchemas } from '@dotterelpass/settings';
@@ -119,7 +119,12 @@
 const incarnation = makeIncarnation();
 const hub = new PeerHub({ instance, incarnation }, settings.peerKey, log);
 const members = new ConfiguredMembers(instance, incarnation, hub);
-const platform = new PlatformClient(settings.platform);
+const platform = new PlatformClient(settings.platform, {
+  metrics,
+  budget: new RateBudget(systemClock, () => members.live.length),
+  // Each shard of claims makes at most one write in 40 ms.
+  unbudgetedPrefix: 'once/',
+});
 const config = new ConfigFeed(platform, log, metrics);
 const balancer = new Balancer({
   hub,
--- a/packages/platform/src/client.ts
+++ b/packages/platform/src/client.ts
@@ -1,6 +1,8 @@
 import { Agent, request } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { Metrics } from '@dotterelpass/telemetry';
+import type { FleetRates, RateBudget } from './budget.js';
 
 /** A failed platform call. `applied` says whether a write may have taken effect. */
 export interface PlatformError {
@@ -54,7 +56,22 @@
 const defaultTimeoutMs = 2000;
 
 /** A waiting watch is abandoned this long after the platform should have answered it. */
-const watchGraceMs = 2000;
+const defaultGraceMs = 2000;
+
+/** A call that finds the budget spent waits this long at most. */
+const maxBudgetWaitMs = 500;
+
+/** Parts and limits of a client. */
+export interface PlatformOptions {
+  readonly budget?: RateBudget;
+  /** Writes to keys with this prefix have a limit of their own and do not draw on the budget. */
+  readonly unbudgetedPrefix?: string;
+  readonly metrics?: Pick<Metrics, 'recordEvent'>;
+  /** Longest wait for the answer to a call that does not wait for a change, in milliseconds. */
+  readonly timeoutMs?: number;
+  /** Time beyond its wait after which a watch is abandoned, in milliseconds. */
+  readonly graceMs?: number;
+}
 
 /** Client of the platform's key-value service and instance list (Consul HTTP API). */
 export class PlatformClient {
@@ -64,12 +81,19 @@
 
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 64, scheduling: 'lifo' });
 
+  readonly #options: PlatformOptions;
+
+  readonly #timeoutMs: number;
+
   #calls = 0;
 
   /**
    * @param address - IP address and port of the platform.
+   * @param options - Parts and limits.
    */
-  constructor(address: string) {
+  constructor(address: string, options: PlatformOptions = {}) {
+    this.#options = options;
+    this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
     const [host = '', port = ''] = address.split(':');
     if (!host || !port) throw new RangeError(`platform address ${JSON.stringify(address)} is bad`);
     this.#host = host;
@@ -107,7 +131,9 @@
       query.set('index', String(options.waitIndex));
       query.set('wait', `${options.waitMs ?? 10_000}ms`);
     }
-    const timeout = waiting ? (options.waitMs ?? 10_000) + watchGraceMs : defaultTimeoutMs;
+    const timeout = waiting
+      ? (options.waitMs ?? 10_000) + (this.#options.graceMs ?? defaultGraceMs)
+      : this.#timeoutMs;
     const answer = await this.#call('GET', `/v1/kv/${key}?${query.toString()}`, undefined, timeout);
     if (answer.isErr()) return err({ ...answer.error, applied: 'no' });
     const { status, index, body } = answer.value;
@@ -158,7 +184,7 @@
    */
   async openSession(ttlMs: number): Promise<Result<string, PlatformError>> {
     const body = Buffer.from(JSON.stringify({ TTL: `${ttlMs}ms`, Behavior: 'release' }));
-    const answer = await this.#call('PUT', '/v1/session/create', body, defaultTimeoutMs);
+    const answer = await this.#call('PUT', '/v1/session/create', body, this.#timeoutMs);
     if (answer.isErr()) return err(answer.error);
     if (answer.value.status !== 200) {
       return err(toStatusError(answer.value.status, answer.value.body));
@@ -174,7 +200,7 @@
    */
   async renewSession(session: string): Promise<Result<boolean, PlatformError>> {
     const path = `/v1/session/renew/${session}`;
-    const answer = await this.#call('PUT', path, undefined, defaultTimeoutMs);
+    const answer = await this.#call('PUT', path, undefined, this.#timeoutMs);
     if (answer.isErr()) return err(answer.error);
     const { status, body } = answer.value;
     if (status === 200) return ok(true);
@@ -216,7 +242,7 @@
    */
   async readInstances(kind: string): Promise<Result<readonly ListedInstance[], PlatformError>> {
     const path = `/v1/health/service/${kind}`;
-    const answer = await this.#call('GET', path, undefined, defaultTimeoutMs);
+    const answer = await this.#call('GET', path, undefined, this.#timeoutMs);
     if (answer.isErr()) return err({ ...answer.error, applied: 'no' });
     if (answer.value.status !== 200) {
       return err(toStatusError(answer.value.status, answer.value.body));
@@ -268,7 +294,7 @@
   }
 
   async #register(path: string, body: Buffer | undefined): Promise<Result<void, PlatformError>> {
-    const answer = await this.#call('PUT', path, body, defaultTimeoutMs);
+    const answer = await this.#call('PUT', path, body, this.#timeoutMs);
     if (answer.isErr()) return err(answer.error);
     const { status } = answer.value;
     return status === 200 ? ok(undefined) : err(toStatusError(status, answer.value.body));
@@ -279,7 +305,7 @@
     path: string,
     value: Buffer,
   ): Promise<Result<boolean, PlatformError>> {
-    const answer = await this.#call(method, path, value, defaultTimeoutMs);
+    const answer = await this.#call(method, path, value, this.#timeoutMs);
     if (answer.isErr()) return err(answer.error);
     const { status, body } = answer.value;
     return status === 200
@@ -293,7 +319,38 @@
     body: Buffer | undefined,
     timeoutMs: number,
   ): Promise<Result<Answer, PlatformError>> {
+    const { unbudgetedPrefix: prefix } = this.#options;
+    const budgeted = method === 'GET' || !prefix || !path.startsWith(`/v1/kv/${prefix}`);
+    const spent = budgeted && (await this.#waitForBudget(method === 'GET' ? 'reads' : 'writes'));
+    if (spent) return err(spent);
     this.#calls += 1;
+    const answer = await this.#send(method, path, body, timeoutMs);
+    const outcome = answer.isOk() ? 'answered' : answer.error.kind;
+    this.#options.metrics?.recordEvent(`platform-${outcome}`);
+    return answer;
+  }
+
+  async #waitForBudget(kind: keyof FleetRates): Promise<PlatformError | undefined> {
+    const { budget, metrics } = this.#options;
+    let waitedMs = 0;
+    for (let waitMs = budget?.acquire(kind) ?? 0; waitMs > 0; waitMs = budget?.acquire(kind) ?? 0) {
+      waitedMs += waitMs;
+      if (waitedMs > maxBudgetWaitMs) {
+        metrics?.recordEvent('platform-budget-spent');
+        const message = `this instance has used its share of ${kind}`;
+        return { kind: 'rate-limited', message, applied: 'no' };
+      }
+      await sleep(waitMs);
+    }
+    return undefined;
+  }
+
+  async #send(
+    method: string,
+    path: string,
+    body: Buffer | undefined,
+    timeoutMs: number,
+  ): Promise<Result<Answer, PlatformError>> {
     return new Promise((resolve) => {
       const outgoing = request({
         agent: this.#agent,
@@ -304,8 +361,11 @@
         headers: body ? { 'content-length': body.length } : {},
       });
       const timer = setTimeout(() => {
-        // The connection may be silent for good; a new one may work.
+        // The connection may be silent for good, and so may those that idle; new ones may work.
         outgoing.destroy();
+        Object.values(this.#agent.freeSockets).forEach((sockets) =>
+          sockets?.forEach((socket) => socket.destroy()),
+        );
         resolve(
           err({ kind: 'timeout', message: `no answer in ${timeoutMs} ms`, applied: 'unknown' }),
         );
@@ -335,6 +395,12 @@
   }
 }
 
+async function sleep(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
 function toStatusError(status: number, body: Buffer): PlatformError {
   const message = `status ${status}: ${body.toString().slice(0, 200)}`;
   if (status === 429) return { kind: 'rate-limited', message, applied: 'no' };
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,3 @@
 export * from './backoff.js';
+export * from './budget.js';
 export * from './client.js';
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -16,7 +16,14 @@
 const levels: readonly LogLevel[] = ['debug', 'info', 'warn', 'error'];
 
 /** Fields whose values never reach a log line. */
-const secretFields = new Set(['token', 'peerKey', 'authorization', 'secret', 'key']);
+const secretFields = new Set([
+  'token',
+  'operatorToken',
+  'peerKey',
+  'authorization',
+  'secret',
+  'key',
+]);
 
 /**
  * Chooses which lines are written.
--- /dev/null
+++ b/packages/telemetry/test/log.test.ts
@@ -0,0 +1,44 @@
+import { afterEach, describe, expect, it, vi } from 'vitest';
+import { openLog, setLogLevel } from '../src/log.js';
+
+const lines: string[] = [];
+
+function writeLines(level: 'info' | 'error'): void {
+  setLogLevel(level);
+  const log = openLog('part', { instance: 'entry-1' });
+  log.info('started', { port: 1 });
+  log.error('failed', { error: new Error('cause'), nested: { token: 'hunter2', list: [1] } });
+  log.error('secret', {
+    peerKey: 'hunter2',
+    authorization: 'Bearer hunter2',
+    operatorToken: 'hunter2',
+  });
+}
+
+describe('the log', () => {
+  vi.spyOn(process.stderr, 'write').mockImplementation((text) => {
+    lines.push(String(text));
+    return true;
+  });
+
+  afterEach(() => {
+    lines.length = 0;
+  });
+
+  /** Guards programs that read the log: each line is JSON with the same first fields. */
+  it('writes JSON lines with stable fields', () => {
+    writeLines('info');
+    const parsed = lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+    expect(parsed.map((line) => Object.keys(line).slice(0, 5))).toEqual(
+      Array(3).fill(['time', 'level', 'part', 'event', 'instance']),
+    );
+    expect(parsed[1]).toMatchObject({ level: 'error', event: 'failed', error: 'cause' });
+  });
+
+  /** Guards secrets: no field that holds one reaches a line, at any depth. */
+  it('hides secrets', () => {
+    writeLines('error');
+    expect(lines).toHaveLength(2);
+    expect(lines.join('')).not.toContain('hunter2');
+  });
+});
