--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,12 +1,16 @@
 #!/usr/bin/env node
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
-import { pathScenario } from './path.js';
-import { tailScenario } from './tail.js';
-import { isMet, writeFigures } from './scenario.js';
-import type { Scenario } from './scenario.js';
-
-const scenarios: readonly Scenario[] = [pathScenario, tailScenario];
+const scenarios: readonly Scenario[] = [
+  broadcastScenario,
+  crashingScenario,
+  crestScenario,
+  holScenario,
+  measureScenario,
+  pathScenario,
+  slopeScenario,
+  tailScenario,
+];
 
 const usage = `usage: npm run bench -- SCENARIO [--seed N] [--runs N] [--json FILE]
 
