--- a/packages/configuration/src/apply.ts
+++ b/packages/configuration/src/apply.ts
@@ -126,7 +126,7 @@
       removeFrom(service, 'tenants', ({ id }) => id === tenant, `tenant ${tenant}`),
     )
     .with({ kind: 'set-limits' }, ({ kind, service: owner, ...limits }) =>
-      ok({ ...service, limits: { ...service.limits, ...omitUndefined(limits) } }),
+      ok({ ...service, limits: { ...service.limits, ...dropUndefined(limits) } }),
     )
     .exhaustive();
 }
@@ -142,7 +142,7 @@
   }
   const spec = endpointSchema.safeParse({
     ...known,
-    ...omitUndefined(given),
+    ...dropUndefined(given),
     id: endpoint,
     state: 'active',
   });
@@ -187,7 +187,7 @@
       ? service.rules.length
       : service.rules.findIndex(({ name }) => name === before);
   if (position < 0) return refuse('not-found', `service ${service.name} has no rule ${before}`);
-  const made = ruleSchema.parse({ ...omitUndefined(fields), name: rule });
+  const made = ruleSchema.parse({ ...dropUndefined(fields), name: rule });
   return ok({ ...service, rules: service.rules.toSpliced(position, 0, made) });
 }
 
@@ -196,7 +196,7 @@
   if (!service.rules.some(({ name }) => name === rule)) {
     return refuse('not-found', `service ${service.name} has no rule ${rule}`);
   }
-  const given: RuleFields = omitUndefined(fields);
+  const given: RuleFields = dropUndefined(fields);
   return ok({
     ...service,
     rules: service.rules.map((known) => (known.name === rule ? { ...known, ...given } : known)),
@@ -238,7 +238,7 @@
   return ok({ ...service, [list]: kept });
 }
 
-function omitUndefined<Value extends object>(value: Value): Partial<Value> {
+function dropUndefined<Value extends object>(value: Value): Partial<Value> {
   return Object.fromEntries(
     Object.entries(value).filter(([, field]) => field !== undefined),
   ) as Partial<Value>;
--- a/packages/configuration/src/restore.ts
+++ b/packages/configuration/src/restore.ts
@@ -29,7 +29,7 @@
   platform: ServiceDocument | undefined,
   command: Command,
 ): Restored {
-  const [base, ...rest] = [...fleet].sort(compareDocuments);
+  const [base, ...rest] = [...fleet].sort(rankDocuments);
   if (!base) throw new RangeError('there is no document to restore from');
   const others = platform ? [...rest, platform] : rest;
   let revision = Math.max(base.revision, platform?.revision ?? 0);
@@ -80,6 +80,6 @@
 }
 
 /** The highest revision first; equal ones in an order that all instances agree on. */
-function compareDocuments(a: ServiceDocument, b: ServiceDocument): number {
+function rankDocuments(a: ServiceDocument, b: ServiceDocument): number {
   return b.revision - a.revision || (makeDigest(a).hash < makeDigest(b).hash ? -1 : 1);
 }
--- a/packages/ctl/src/client.ts
+++ b/packages/ctl/src/client.ts
@@ -51,7 +51,7 @@
    * @returns The answer, or `lost` when the command may have been accepted.
    */
   async sendCommand(command: CommandRequest): Promise<Result<OperatorReply, NoReply>> {
-    return this.#ask('POST', '/v1/commands', (repeated) => ({ ...command, repeated }));
+    return this.#request('POST', '/v1/commands', (repeated) => ({ ...command, repeated }));
   }
 
   /**
@@ -62,21 +62,25 @@
    */
   async settle(commandId: string, service?: string): Promise<Result<OperatorReply, NoReply>> {
     const path = `/v1/commands/${encodeURIComponent(commandId)}`;
-    if (service === undefined) return this.#ask('GET', path);
-    return this.#ask('POST', `${path}/settle`, () => ({ service }));
+    if (service === undefined) return this.#request('GET', path);
+    return this.#request('POST', `${path}/settle`, () => ({ service }));
   }
 
   /** Lifts the ban of a request that crashed endpoints. */
   async liftBan(fingerprint: string): Promise<Result<OperatorReply, NoReply>> {
-    return this.#ask('POST', `/v1/suspects/${encodeURIComponent(fingerprint)}/lift`, () => ({}));
+    return this.#request(
+      'POST',
+      `/v1/suspects/${encodeURIComponent(fingerprint)}/lift`,
+      () => ({}),
+    );
   }
 
   /** Lists the rows of a subject, such as `endpoints`. */
   async list(subject: string): Promise<Result<OperatorReply, NoReply>> {
-    return this.#ask('GET', `/v1/${subject}`);
+    return this.#request('GET', `/v1/${subject}`);
   }
 
-  async #ask(
+  async #request(
     method: string,
     path: string,
     makeBody?: (repeated: boolean) => object,
@@ -85,7 +89,7 @@
     const failures: string[] = [];
     for (const address of this.#addresses) {
       const body = makeBody ? Buffer.from(JSON.stringify(makeBody(repeated))) : undefined;
-      const reply = await this.#call(address, method, path, body);
+      const reply = await this.#send(address, method, path, body);
       if (reply.isOk()) return reply;
       repeated ||= reply.error.kind === 'lost';
       failures.push(`${address}: ${reply.error.message}`);
@@ -93,7 +97,7 @@
     return err({ kind: repeated ? 'lost' : 'unsent', message: failures.join('; ') });
   }
 
-  async #call(
+  async #send(
     address: string,
     method: string,
     path: string,
--- a/packages/ctl/src/grammar.ts
+++ b/packages/ctl/src/grammar.ts
@@ -63,12 +63,12 @@
 
 /** Says what was expected, in the words of the language. */
 const messages: IParserErrorMessageProvider = {
-  buildMismatchTokenMessage: ({ expected }) => `expected ${describeTokens([expected])}`,
+  buildMismatchTokenMessage: ({ expected }) => `expected ${writeTokens([expected])}`,
   buildNotAllInputParsedMessage: () => 'expected the end of the statement',
   buildNoViableAltMessage: ({ expectedPathsPerAlt }) =>
-    `expected ${describeTokens(expectedPathsPerAlt.flat().flatMap(([first]) => first ?? []))}`,
+    `expected ${writeTokens(expectedPathsPerAlt.flat().flatMap(([first]) => first ?? []))}`,
   buildEarlyExitMessage: ({ expectedIterationPaths }) =>
-    `expected ${describeTokens(expectedIterationPaths.flatMap(([first]) => first ?? []))}`,
+    `expected ${writeTokens(expectedIterationPaths.flatMap(([first]) => first ?? []))}`,
 };
 
 /** Parser of one statement of the command language. */
@@ -90,16 +90,16 @@
   readonly #word = this.RULE('word', (): string => toText(this.CONSUME(Word)));
 
   readonly #show = this.RULE('show', (): RawStatement => {
-    this.#key('show');
+    this.#readKeyword('show');
     const subject = this.OR(
       subjects.map((name) => ({ ALT: () => this.CONSUME(toToken(name)).image })),
     );
     const where: Condition[] = [];
     this.OPTION(() => {
-      this.#key('where');
+      this.#readKeyword('where');
       where.push(this.SUBRULE1(this.#condition));
       this.MANY(() => {
-        this.#key('and');
+        this.#readKeyword('and');
         where.push(this.SUBRULE2(this.#condition));
       });
     });
@@ -115,13 +115,13 @@
   });
 
   readonly #lift = this.RULE('lift', (): RawStatement => {
-    this.#key('lift');
-    this.#key('ban');
+    this.#readKeyword('lift');
+    this.#readKeyword('ban');
     return { kind: 'lift', fingerprint: this.SUBRULE(this.#word) };
   });
 
   readonly #settle = this.RULE('settle', (): RawStatement => {
-    this.#key('settle');
+    this.#readKeyword('settle');
     const commandId = this.SUBRULE(this.#word);
     const service = this.OPTION(() => this.SUBRULE(this.#owner));
     return { kind: 'settle', commandId, ...(service === undefined ? {} : { service }) };
@@ -139,13 +139,13 @@
   );
 
   readonly #create = this.RULE('create', (): Fields => {
-    this.#key('create');
-    this.#key('service');
+    this.#readKeyword('create');
+    this.#readKeyword('service');
     return { kind: 'create-service', service: this.SUBRULE(this.#word) };
   });
 
   readonly #restore = this.RULE('restore', (): Fields => {
-    this.#key('restore');
+    this.#readKeyword('restore');
     return { kind: 'restore-service', service: this.SUBRULE(this.#word) };
   });
 
@@ -153,22 +153,22 @@
     const verb = this.OR(
       ['drain', 'stop'].map((word) => ({ ALT: () => this.CONSUME(toToken(word)).image })),
     );
-    this.#key('endpoint');
+    this.#readKeyword('endpoint');
     return { kind: `${verb}-endpoint`, ...this.SUBRULE(this.#owned, { ARGS: ['endpoint'] }) };
   });
 
   readonly #remove = this.RULE('remove', (): Fields => {
-    this.#key('remove');
+    this.#readKeyword('remove');
     return this.OR<Fields>([
       {
         ALT: () => {
-          this.#key('service');
+          this.#readKeyword('service');
           return { kind: 'remove-service', service: this.SUBRULE(this.#word) };
         },
       },
       ...['endpoint', 'rule', 'tenant'].map((thing, index) => ({
         ALT: () => {
-          this.#key(thing);
+          this.#readKeyword(thing);
           const owned = this.subrule(index + 1, this.#owned, { ARGS: [thing] });
           return { kind: `remove-${thing}`, ...owned };
         },
@@ -178,18 +178,18 @@
   });
 
   readonly #add = this.RULE('add', (): Fields => {
-    this.#key('add');
+    this.#readKeyword('add');
     return this.OR<Fields>([
       {
         ALT: () => {
-          this.#key('endpoint');
+          this.#readKeyword('endpoint');
           const owned = this.SUBRULE1(this.#owned, { ARGS: ['endpoint'] });
           return { kind: 'add-endpoint', ...owned, ...this.SUBRULE(this.#endpointOptions) };
         },
       },
       {
         ALT: () => {
-          this.#key('rule');
+          this.#readKeyword('rule');
           const owned = this.SUBRULE2(this.#owned, { ARGS: ['rule'] });
           const fields = this.SUBRULE(this.#newRuleOptions);
           return { kind: 'add-rule', ...owned, ...fields };
@@ -200,11 +200,11 @@
   });
 
   readonly #set = this.RULE('set', (): Fields => {
-    this.#key('set');
+    this.#readKeyword('set');
     return this.OR<Fields>([
       {
         ALT: () => {
-          this.#key('slots');
+          this.#readKeyword('slots');
           const slots = Number(this.SUBRULE(this.#word));
           const endpoint = this.SUBRULE1(this.#owner);
           return { kind: 'set-slots', endpoint, slots, service: this.SUBRULE2(this.#owner) };
@@ -212,22 +212,22 @@
       },
       {
         ALT: () => {
-          this.#key('rule');
+          this.#readKeyword('rule');
           const owned = this.SUBRULE1(this.#owned, { ARGS: ['rule'] });
           return { kind: 'set-rule', ...owned, ...this.SUBRULE(this.#ruleOptions) };
         },
       },
       {
         ALT: () => {
-          this.#key('tenant');
+          this.#readKeyword('tenant');
           const owned = this.SUBRULE2(this.#owned, { ARGS: ['tenant'] });
-          this.#key('weight');
+          this.#readKeyword('weight');
           return { kind: 'set-tenant', ...owned, weight: Number(this.SUBRULE3(this.#word)) };
         },
       },
       {
         ALT: () => {
-          this.#key('limits');
+          this.#readKeyword('limits');
           const service = this.SUBRULE3(this.#owner);
           return { kind: 'set-limits', service, ...this.SUBRULE(this.#limitOptions) };
         },
@@ -247,7 +247,7 @@
   });
 
   readonly #route = this.RULE('route', (): Fields => {
-    this.#key('route');
+    this.#readKeyword('route');
     const owned = this.SUBRULE(this.#owned, { ARGS: ['pathPrefix'] });
     return { ...owned, ...this.SUBRULE(this.#routeOptions) };
   });
@@ -295,7 +295,7 @@
   }
 
   /** Each keyword occurs once in a rule, so that occurrences need no numbers. */
-  #key(word: string): IToken {
+  #readKeyword(word: string): IToken {
     return this.CONSUME(toToken(word));
   }
 }
@@ -327,7 +327,7 @@
   return token;
 }
 
-function describeTokens(tokens: readonly TokenType[]): string {
+function writeTokens(tokens: readonly TokenType[]): string {
   const labels = [...new Set(tokens.map((token) => token.LABEL ?? token.name))];
   const last = labels.pop() ?? '';
   return labels.length === 0 ? last : `${labels.join(', ')} or ${last}`;
--- a/packages/ctl/src/print.ts
+++ b/packages/ctl/src/print.ts
@@ -44,11 +44,11 @@
   if (operator === '=') return equal;
   if (operator === '!=') return !equal;
   if (given === undefined || given === null) return false;
-  const order = typeof given === 'number' ? given - Number(value) : compare(String(given), value);
+  const order = typeof given === 'number' ? given - Number(value) : rankText(String(given), value);
   return operator === '<' ? order < 0 : order > 0;
 }
 
-function compare(a: string, b: string): number {
+function rankText(a: string, b: string): number {
   if (a === b) return 0;
   return a < b ? -1 : 1;
 }
--- a/packages/ctl/src/session.ts
+++ b/packages/ctl/src/session.ts
@@ -58,30 +58,30 @@
 
   async #runOne(statement: Statement): Promise<number> {
     return match(statement)
-      .with({ kind: 'show' }, ({ subject, where }) => this.#show(subject, where))
+      .with({ kind: 'show' }, ({ subject, where }) => this.#listRows(subject, where))
       .with({ kind: 'change' }, async ({ change }) => {
         const { author, expectedRevision } = this.#options;
         const commandId = randomUUID();
         const command = { commandId, author, command: change, expectedRevision };
         const reply = await this.#client.sendCommand(command);
-        return this.#finish(reply, `settle ${commandId} for ${change.service}`);
+        return this.#writeOutcome(reply, `settle ${commandId} for ${change.service}`);
       })
       .with({ kind: 'settle' }, async ({ commandId, service }) =>
-        this.#finish(await this.#client.settle(commandId, service), `settle ${commandId}`),
+        this.#writeOutcome(await this.#client.settle(commandId, service), `settle ${commandId}`),
       )
       .with({ kind: 'lift' }, async ({ fingerprint }) =>
-        this.#finish(await this.#client.liftBan(fingerprint), `lift ban ${fingerprint}`),
+        this.#writeOutcome(await this.#client.liftBan(fingerprint), `lift ban ${fingerprint}`),
       )
       .exhaustive();
   }
 
-  async #show(
+  async #listRows(
     subject: string,
     where: Extract<Statement, { kind: 'show' }>['where'],
   ): Promise<number> {
     const reply = await this.#client.list(subject);
     if (reply.isErr() || reply.value.status !== 200) {
-      return this.#finish(reply, `show ${subject}`);
+      return this.#writeOutcome(reply, `show ${subject}`);
     }
     try {
       const rows = pickRows(reply.value.body.rows as readonly Row[], where);
@@ -99,7 +99,7 @@
    *
    * @param again - Statement that finds out what became of it when there is no answer.
    */
-  async #finish(reply: Result<OperatorReply, NoReply>, again: string): Promise<number> {
+  async #writeOutcome(reply: Result<OperatorReply, NoReply>, again: string): Promise<number> {
     const { json, print, printError } = this.#options;
     if (reply.isErr()) {
       const undecided = reply.error.kind === 'lost';
--- a/packages/entry/src/config.ts
+++ b/packages/entry/src/config.ts
@@ -163,16 +163,16 @@
       seen.add(name);
       const outcome = this.offer(document.value, 'platform');
       if (outcome === 'applied' || outcome === 'known') this.#wentBack.delete(name);
-      else doubtful = this.#doubt(name, outcome, number, document.value.revision) || doubtful;
+      else doubtful = this.#recordDoubt(name, outcome, number, document.value.revision) || doubtful;
     }
     for (const { service } of this.inForce.digests) {
-      if (!seen.has(service)) doubtful = this.#doubt(service, 'missing', number) || doubtful;
+      if (!seen.has(service)) doubtful = this.#recordDoubt(service, 'missing', number) || doubtful;
     }
     this.#ready = true;
     return doubtful;
   }
 
-  #doubt(
+  #recordDoubt(
     service: ServiceId,
     reason: WentBackReason,
     number: number,
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -68,12 +68,12 @@
     const { self, live } = this.#members;
     const peers = new Set([...live, ...this.#hub.known.keys()]);
     peers.delete(self);
-    const others = await Promise.all([...peers].map((peer) => this.#ask(peer)));
-    const own: InstanceState = { instance: self, state: 'live', ...this.#describe() };
+    const others = await Promise.all([...peers].map((peer) => this.#request(peer)));
+    const own: InstanceState = { instance: self, state: 'live', ...this.#makeState() };
     return [own, ...others].sort((a, b) => (a.instance < b.instance ? -1 : 1));
   }
 
-  async #ask(instance: InstanceId): Promise<InstanceState> {
+  async #request(instance: InstanceId): Promise<InstanceState> {
     const answer = await this.#hub.request(instance, messageType, {}, answerTimeoutMs);
     const state = answer.isOk() ? stateSchema.safeParse(answer.value) : undefined;
     if (!state?.success) return { instance, state: 'unreachable' };
@@ -81,13 +81,13 @@
   }
 
   #answer({ service, hash }: Body): Body {
-    if (typeof service !== 'string') return { ...this.#describe() };
+    if (typeof service !== 'string') return { ...this.#makeState() };
     const document = this.#config.inForce.findDocument(service as ServiceId);
     if (!document || makeDigest(document).hash === hash) return {};
     return { document: writeDocument(document).toString() };
   }
 
-  #describe(): z.infer<typeof stateSchema> {
+  #makeState(): z.infer<typeof stateSchema> {
     return {
       ready: this.#config.ready,
       revisions: Object.fromEntries(
