--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,58 +1,70 @@
-import { setFlagsFromString } from 'node:v8';
-import { runInNewContext } from 'node:vm';
-import type { Point } from './fit.js';
+import { deployments } from './deployment.js';
+import { call, sleep } from './cluster.js';
+import { Fleet } from './fleet.js';
+import type { FleetOptions } from './fleet.js';
+import type { Figure, Scenario } from './scenario.js';
 
-/** One quantity of a part of a process, as a function of one size. */
-export interface Quantity {
-  readonly name: string;
-  readonly unit: string;
-  readonly points: readonly Point[];
-}
+const { quispe } = deployments;
+const service = 'claims';
+const probesPerSecond = 1;
+const runMs = 20_000;
+const restartAtMs = 10_000;
 
-/** A part of a process that can be measured by itself at several sizes. */
-export interface Part {
+interface Case {
   readonly name: string;
-  /** What the size counts, such as members. */
-  readonly size: string;
-  measure(seed: number): Promise<readonly Quantity[]>;
+  readonly options: Partial<FleetOptions>;
+  act?(fleet: Fleet): Promise<void>;
 }
 
-/** @returns Bytes in use after a full collection. */
-export function readMemory(): number {
-  setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as () => void;
-  collect();
-  collect();
-  const { heapUsed, external } = process.memoryUsage();
-  return heapUsed + external;
-}
+const cases: readonly Case[] = [
+  { name: '1 instance', options: { entries: 1 } },
+  { name: '5 instances', options: { entries: 5 } },
+  { name: '40 instances', options: { entries: 40 } },
+  {
+    name: '5 instances, restarts',
+    options: { entries: 5 },
+    async act(fleet) {
+      await sleep(restartAtMs);
+      for (const index of fleet.entries.keys()) await fleet.restartEntry(index);
+    },
+  },
+  { name: '5 instances without links', options: { entries: 5, entryFlags: { peers: '' } } },
+];
 
-/**
- * Measures the memory that a value holds.
- *
- * @param make - Makes the value.
- * @param copies - Values that are held at once, so that noise of the collector is small.
- * @returns Bytes of one value.
- */
-export function measureMemory(make: () => unknown, copies = 1): number {
-  // The first run fills caches of the engine, which belong to no value.
-  make();
-  const before = readMemory();
-  const held = Array.from({ length: copies }, make);
-  const bytes = readMemory() - before;
-  held.pop();
-  return bytes / copies;
-}
+/** Counts the probes that idle endpoints receive. */
+export const measureScenario: Scenario = {
+  name: 'measure',
+  describe: 'probes a second on each endpoint, summed over all entry instances',
+  async run({ tell }) {
+    const figures: Figure[] = [];
+    for (const each of cases) {
+      const rates = await countProbes(each);
+      tell(`${each.name}: ${rates.map((rate) => rate.toFixed(2)).join(' ')} probes/s`);
+      figures.push({
+        name: `highest probe rate, ${each.name}`,
+        unit: '1/s',
+        values: [Math.max(...rates)],
+        target: { atMost: probesPerSecond },
+      });
+    }
+    return figures;
+  },
+};
 
-/**
- * Measures the processor time of some work.
- *
- * @param work - The work.
- * @returns Milliseconds of the user and the system.
- */
-export async function measureProcessor(work: () => Promise<void> | void): Promise<number> {
-  const before = process.cpuUsage();
-  await work();
-  const { user, system } = process.cpuUsage(before);
-  return (user + system) / 1000;
+/** @returns Probes a second on each endpoint. */
+async function countProbes({ options, act }: Case): Promise<number[]> {
+  const startedAt = performance.now();
+  const fleet = await Fleet.open({ deployment: quispe, services: [service], ...options });
+  try {
+    await Promise.all([sleep(runMs), act?.(fleet)]);
+    const seconds = (performance.now() - startedAt) / 1000;
+    return await Promise.all(
+      fleet.findEndpoints(service).map(async ({ port }) => {
+        const reply = await call(port, '/standin/counts');
+        return (JSON.parse(reply.body.toString()) as { probes: number }).probes / seconds;
+      }),
+    );
+  } finally {
+    await fleet.close();
+  }
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -148,8 +148,8 @@
 });
 const calls = new CallPath(config, balancer, log, metrics);
 const gate = new ReadyGate(config, members);
-const callers = new CallerServer((request, response) =>
-  gate.isOpen ? calls.serve(request, response) : gate.refuse(response),
+const callers = new CallerServer((call) =>
+  gate.isOpen ? calls.serve(call) : gate.refuse(call.response),
 );
 let stopping = false;
 const desk = new OperatorDesk({
@@ -178,6 +178,7 @@
   recordLeaving: (address) => balancer.recordLeaving(address),
 });
 
+balancer.setReportSource((service, endpoint) => prober.requestReport(service, endpoint));
 balancer.start();
 prober.start();
 void config.run();
@@ -205,12 +206,17 @@
 
 async function stop(): Promise<void> {
   stopping = true;
-  log.info('stopping', { active: callers.active });
+  log.info('stopping', { active: calls.active });
+  callers.startDraining();
   // The platform's balancer needs this time to see that the instance is not ready.
   await new Promise((resolve) => {
     setTimeout(resolve, settings.stopWaitMs);
   });
-  await callers.close(settings.stopMaxMs);
+  const maxMs = Math.min(settings.stopMaxMs, calls.longestDeadlineMs);
+  const closeBy = performance.now() + maxMs;
+  await callers.close(maxMs);
+  // A `once` call whose caller has left goes on, so that its result can be settled.
+  await calls.waitForEnd(closeBy - performance.now());
   config.stop();
   spread.stop();
   await Promise.all([members.leave(), listing.stop()]);
