--- a/packages/bench/test/restart.test.ts
+++ b/packages/bench/test/restart.test.ts
@@ -8,18 +8,32 @@
   readonly key: string;
   /** Undefined when the connection broke without an answer. */
   readonly reply: Reply | undefined;
+  readonly instance: string;
+  readonly error?: string;
+}
+
+/** A positive answer of `/readyz` and when it was asked for. */
+interface Ready {
+  readonly entry: Entry;
+  readonly askedAt: number;
 }
 
 /** Time between checks of `/readyz`, as of the platform's balancer, in milliseconds. */
 const checkMs = 50;
 
+/**
+ * Age after which an answer of `/readyz` counts no more, in milliseconds. It is below the wait of
+ * a stopping instance, also when this process itself was held up.
+ */
+const maxAgeMs = 200;
+
 /** Sends calls to instances that said that they are ready, as the platform's balancer does. */
 class Callers {
   readonly ended: Ended[] = [];
 
   readonly #fleet: EntryFleet;
 
-  #ready: readonly Entry[] = [];
+  #ready: readonly Ready[] = [];
 
   #stopped = false;
 
@@ -39,9 +53,13 @@
 
   async #check(): Promise<void> {
     while (!this.#stopped) {
-      const { entries } = this.#fleet;
-      const ready = await Promise.all(entries.map((entry) => this.#fleet.isReady(entry)));
-      this.#ready = entries.filter((_, index) => ready[index]);
+      const checked = await Promise.all(
+        this.#fleet.entries.map(async (entry) => {
+          const askedAt = performance.now();
+          return { entry, askedAt, ready: await this.#fleet.isReady(entry) };
+        }),
+      );
+      this.#ready = checked.filter(({ ready }) => ready);
       await sleep(checkMs);
     }
   }
@@ -49,13 +67,20 @@
   async #send(): Promise<void> {
     while (!this.#stopped) {
       const key = `call-${this.#sent}`;
-      const entry = this.#ready[this.#sent % this.#ready.length];
+      const oldest = performance.now() - maxAgeMs;
+      const ready = this.#ready.filter(({ askedAt }) => askedAt > oldest);
+      const entry = ready[this.#sent % ready.length]?.entry;
       this.#sent += 1;
       if (entry) {
-        const reply = await call(entry.callerPort, `/status?ms=20&key=${key}`).catch(
-          () => undefined,
-        );
-        this.ended.push({ key, reply });
+        // Some calls outlast the time in which callers turn away from a stopping instance.
+        const ms = this.#sent % 10 === 0 ? 700 : 20;
+        const path = `/status?ms=${ms}&key=${key}`;
+        try {
+          const reply = await call(entry.callerPort, path);
+          this.ended.push({ key, reply, instance: entry.name });
+        } catch (error) {
+          this.ended.push({ key, reply: undefined, instance: entry.name, error: String(error) });
+        }
       }
       await sleep(10);
     }
