--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -1,4 +1,4 @@
-import { spawn } from 'node:child_process';
+import { execFile, spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { request } from 'node:http';
 import { createServer } from 'node:net';
@@ -78,6 +78,30 @@
   }
 }
 
+/** What a program that ends by itself has printed. */
+export interface Finished {
+  readonly code: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/**
+ * Runs a program of this repository to its end.
+ *
+ * @param program - Which one.
+ * @param args - Its arguments.
+ * @returns Its exit code and what it printed.
+ */
+export async function runProgram(program: ProgramName, args: readonly string[]): Promise<Finished> {
+  return new Promise((resolve) => {
+    const child = execFile(
+      process.execPath,
+      [findProgram(program), ...args],
+      (_error, stdout, stderr) => resolve({ code: child.exitCode ?? -1, stdout, stderr }),
+    );
+  });
+}
+
 /** @returns Path of the compiled program. */
 export function findProgram(program: ProgramName): string {
   return fileURLToPath(import.meta.resolve(`${programs[program]}/main`));
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -32,6 +32,7 @@
 
 const fleet = await openFleet();
 try {
+  await giveCommand();
   const direct = await measureDirect();
   const outcomes = await runLoad();
   await showResults(direct, outcomes);
@@ -52,6 +53,17 @@
   return opened;
 }
 
+/** Drains an endpoint and waits until every entry instance has the command in force. */
+async function giveCommand(): Promise<void> {
+  const statement = 'drain endpoint fees-8 of fees';
+  say(`Operator: ${statement}`);
+  const command = await fleet.runStatement(statement, '--wait');
+  say((command.stdout + command.stderr).trim());
+  if (command.code !== 0) throw new Error(`the command ended with code ${command.code}`);
+  const instances = await fleet.runStatement('show instances');
+  say(instances.stdout.trim());
+}
+
 /** Sends status calls straight to their endpoints, as the measure of what the path adds. */
 async function measureDirect(): Promise<readonly Outcome[]> {
   say(`Measuring direct calls for ${directMs / 1000} s ...`);
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -3,8 +3,8 @@
 import { join } from 'node:path';
 import type { LedgerLine } from '@dotterelpass/standins';
 import type { Service } from '@dotterelpass/values';
-import { Cluster, call, findPort, waitFor } from './cluster.js';
-import type { Running } from './cluster.js';
+import { Cluster, call, findPort, runProgram, waitFor } from './cluster.js';
+import type { Finished, Running } from './cluster.js';
 import { makeService } from './deployment.js';
 import type { Deployment, ServiceSize } from './deployment.js';
 
@@ -161,6 +161,24 @@
     return texts.map((text) => JSON.parse(text) as LedgerLine);
   }
 
+  /**
+   * Gives a statement of the command language to the operators' program.
+   *
+   * @param statement - One query or command.
+   * @param flags - Further flags, such as `--wait`.
+   * @returns What the program answered.
+   */
+  async runStatement(statement: string, ...flags: readonly string[]): Promise<Finished> {
+    const operators = this.#entries.map(({ operatorPort }) => `127.0.0.1:${operatorPort}`);
+    return runProgram('ctl', [
+      ...['--operators', operators.join(',')],
+      ...['--operator-token', operatorToken],
+      ...['--author', 'bench'],
+      ...flags,
+      statement,
+    ]);
+  }
+
   /** @returns How often each key began to run, over all endpoints, ended ones included. */
   async countRuns(): Promise<ReadonlyMap<string, number>> {
     const counts = new Map<string, number>();
@@ -262,6 +280,7 @@
           ...ports,
           platform: `127.0.0.1:${this.platformPort}`,
           peerKey,
+          operatorToken,
           ...(others ? { peers: others } : {}),
           ...entryFlags,
         };
