--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -117,11 +117,14 @@
 const portsPerSlice = 200;
 const portSlices = 110;
 
+/** Slices of one test run; its workers have the numbers from 1 on. */
+const slicesPerRun = 5;
+
 let nextPort = 0;
 
 /** @returns A loopback port on which nothing listens. */
 export async function findPort(): Promise<number> {
-  const slice = firstPort + (process.pid % portSlices) * portsPerSlice;
+  const slice = firstPort + findSlice() * portsPerSlice;
   for (let tried = 0; tried < portsPerSlice; tried++) {
     const port = slice + (nextPort % portsPerSlice);
     nextPort += 1;
@@ -130,6 +133,14 @@
   throw new Error(`no free port from ${slice} to ${slice + portsPerSlice - 1}`);
 }
 
+/** Workers of one test run share their parent, so their slices differ for certain. */
+function findSlice(): number {
+  const worker = Number(process.env.VITEST_POOL_ID ?? 0);
+  if (worker === 0) return process.pid % portSlices;
+  const runs = portSlices / slicesPerRun;
+  return (process.ppid % runs) * slicesPerRun + (worker % slicesPerRun);
+}
+
 async function isFree(port: number): Promise<boolean> {
   const server = createServer();
   return new Promise((resolve) => {
