--- a/packages/proxy/src/forward.ts
+++ b/packages/proxy/src/forward.ts
@@ -4,7 +4,7 @@
 
 /** How the forwarding of an answer ended. */
 export interface ForwardEnd {
-  /** `cut`: the endpoint's answer was not whole. `gone`: the caller left. */
+  /** `cut`: the endpoint's answer was not whole. `gone`: the caller left or was too slow. */
   readonly result: 'whole' | 'cut' | 'gone';
   /** The body, when it was to be kept, came whole and fits. */
   readonly kept?: Buffer;
@@ -72,7 +72,7 @@
   }
 
   start(): void {
-    this.#timer = setTimeout(this.#cut, this.#options.timeoutMs);
+    this.#timer = setTimeout(() => this.#expire(), this.#options.timeoutMs);
     this.#answer.on('data', this.#take).on('end', this.#end).on('close', this.#cut);
     // The error of a cut answer is followed by `close`.
     this.#answer.on('error', () => undefined);
@@ -110,6 +110,14 @@
     this.#finish(this.#gone ? 'gone' : 'whole');
   };
 
+  #expire(): void {
+    // While the answer is held back for a slow caller, its time is not the endpoint's fault.
+    if (this.#answer.isPaused()) {
+      cutAnswer(this.#response);
+      this.#leave();
+    } else this.#cut();
+  }
+
   readonly #cut = () => {
     if (!this.#gone) cutAnswer(this.#response);
     this.#answer.destroy();
