Test the end of connections during a stop more closely

Two mechanisms could be taken out without a failing test: keeping a connection for requests that were pipelined before the stop, and the time for a next request after an answer that could not ask to close. Node closes a connection that was refused before 100 Continue by itself, so the same in CallerServer is removed.

--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -179,14 +179,11 @@
     connection.calls.set(response, gone);
     this.#active += 1;
     response.on('finish', () => this.#finish(socket, response, connection));
-    const isKept = response.shouldKeepAlive && !this.#draining;
-    const isExpecting = request.headers.expect !== undefined;
-    // A caller that was not told to go on may send its next request where a body is awaited.
-    response.shouldKeepAlive = isKept && !isExpecting;
+    if (this.#draining) response.shouldKeepAlive = false;
+    // Node closes the connection of a caller that was not told to go on: its next request could
+    // stand where the body was awaited.
     const acceptBody = () => {
-      if (!isExpecting) return;
-      response.shouldKeepAlive = isKept;
-      response.writeContinue();
+      if (request.headers.expect !== undefined) response.writeContinue();
     };
     const id = makeRequestId(request.headers['x-request-id']);
     const target = readTarget(request);
--- a/packages/proxy/test/caller.test.ts
+++ b/packages/proxy/test/caller.test.ts
@@ -263,17 +263,39 @@
     // The second request comes after the first was answered without `Connection: close`.
     const busy = exchange(own, [get, 200, get]);
     const idle = exchange(own, [get]);
-    const pipelined = exchange(own, [200, get, 20, get]);
+    const pipelined = [20, 80].map((ms) => exchange(own, [200, get, ms, get]));
     await new Promise((resolve) => {
       setTimeout(resolve, 250);
     });
     draining.startDraining();
     await draining.close(5000);
-    const together = (await pipelined).text;
-    expect(together.match(/whole/g)).toHaveLength(2);
-    expect(together).toMatch(/^[^]*keep-alive[^]*whole[^]*Connection: close[^]*whole$/);
+    // The last request of each came before the stop and during it.
+    for (const { text } of await Promise.all(pipelined)) {
+      expect(text.match(/whole/g)).toHaveLength(2);
+      expect(text).toMatch(/^[^]*keep-alive[^]*whole[^]*Connection: close[^]*whole$/);
+    }
     expect((await busy).text.match(/whole/g)).toHaveLength(2);
     expect((await busy).end).toBe('end');
     expect((await idle).end).toBe('end');
   });
+
+  it('serves a request that follows an answer which could not ask to close', async () => {
+    const draining = new CallerServer(async ({ response }) => {
+      response.write('begun, ');
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+      response.end('whole');
+    });
+    const own = await draining.open('127.0.0.1', 0);
+    const get = `GET / HTTP/1.1\r\n${host}\r\n`;
+    const both = exchange(own, [get, 130, get]);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 60);
+    });
+    await draining.close(5000);
+    const { text } = await both;
+    expect(text.match(/whole/g)).toHaveLength(2);
+    expect(text).toMatch(/Connection: close/);
+  });
 });
