--- a/packages/credits/test/pool.test.ts
+++ b/packages/credits/test/pool.test.ts
@@ -166,9 +166,28 @@
     borrower.receiveLoans(a, renewed, clock.now());
     clock.advance(300);
     expect(borrower.listRenewable(500)).toHaveLength(1);
+    const isLoan = (one: Credit) => one.endpoint === loan.endpoint && one.index === loan.index;
+    expect(lender.listHeld().some(isLoan)).toBe(false);
     expect(lender.renew(b, [{ ...loan, loan: loan.loan + 1 }])).toEqual([]);
   });
 
+  /** Guards against late messages that bring back a loan which the lender has again. */
+  it('does not take a returned loan a second time', () => {
+    const { clock, lender, borrower, loan } = openPair();
+    const before = borrower.countHeld();
+    borrower.receiveLoans(a, [loan], clock.now());
+    borrower.dropLoans(0);
+    borrower.receiveLoans(a, [loan], clock.now());
+    expect(borrower.countHeld()).toBe(before);
+    lender.receiveReturn(b, [loan]);
+    const [next] = lender.lend(b, 1, 0) as [Loan];
+    borrower.receiveLoans(a, [next], clock.now());
+    borrower.receiveLoans(a, [loan], clock.now());
+    clock.advance(1);
+    lender.receiveReturn(b, borrower.dropLoans(0));
+    expect(lender.countHeld() + borrower.countHeld()).toBe(6);
+  });
+
   /** Guards the endpoints' slots when members change: survivors use all, none twice for long. */
   it.each([
     { members: ['a', 'b', 'c'], rest: ['a', 'b'] },
--- a/packages/measuring/test/budget.test.ts
+++ b/packages/measuring/test/budget.test.ts
@@ -98,6 +98,17 @@
     expect(listProbes({ instances: 5 }).length).toBeGreaterThan(540);
   });
 
+  /** Guards endpoints from a holder that returns: another may have probed in the meantime. */
+  it('starts with an empty bucket when a lapsed lease is taken again', () => {
+    const clock = new ManualClock();
+    const budget = new ProbeBudget(clock, { probesPerSecond: 1, maxInstances: 5 });
+    budget.startLease(leaseMs);
+    budget.acquire(endpoint);
+    clock.advance(leaseMs);
+    budget.startLease(2 * leaseMs);
+    expect(budget.acquire(endpoint)).toBe(false);
+  });
+
   /** Guards against a paused holder that goes on probing after its lease has lapsed. */
   it('takes the lease to end by the local time', () => {
     const clock = new ManualClock();
--- a/packages/selection/test/selection.test.ts
+++ b/packages/selection/test/selection.test.ts
@@ -90,6 +90,16 @@
     expect(health.findExpectedMs(a, delay)).toBeGreaterThan(health.findExpectedMs(b, 0) * 1.25);
   });
 
+  /** Guards against averages that follow a sudden slowness late, and failures that hide in them. */
+  it('takes one slow answer at its full weight, and a failure for the slowest answer', () => {
+    const { health } = openHealth();
+    const usual = health.findExpectedMs(b, 0);
+    health.recordAnswer(a, 'short', 50);
+    expect(health.findExpectedMs(a, 0)).toBeGreaterThan(usual * 4);
+    health.recordFailure(b);
+    expect(health.findExpectedMs(b, 0)).toBeGreaterThan(usual * 8);
+  });
+
   /** Guards the balance of nearness and load: a far endpoint wins over a slow near one. */
   it('prefers a far endpoint to a slow near one', () => {
     const { health } = openHealth();
@@ -100,7 +110,7 @@
   /** Guards against blaming an endpoint for a class whose calls all run long. */
   it('compares calls with their class', () => {
     const { health } = openHealth();
-    ids.forEach((id) => health.recordAnswer(id, 'long', 500));
+    health.recordAnswer(a, 'long', 500);
     expect(health.findExpectedMs(a, 0)).toBeCloseTo(health.findExpectedMs(b, 0));
   });
 
