--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
 import { crestScenario } from './crest.js';
 import { holScenario } from './hol.js';
 import { measureScenario } from './measure.js';
+import { onceScenario } from './once.js';
 import { pathScenario } from './path.js';
 import { slopeScenario } from './slope.js';
 import { tailScenario } from './tail.js';
@@ -18,6 +19,7 @@
   crestScenario,
   holScenario,
   measureScenario,
+  onceScenario,
   pathScenario,
   slopeScenario,
   tailScenario,
