--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,23 +2,25 @@
 import { writeFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
 import { broadcastScenario } from './broadcast.js';
-import { pathScenario } from './path.js';
+import { crashingScenario } from './crashing.js';
 import { crestScenario } from './crest.js';
 import { holScenario } from './hol.js';
 import { measureScenario } from './measure.js';
+import { pathScenario } from './path.js';
 import { slopeScenario } from './slope.js';
 import { tailScenario } from './tail.js';
 import { isMet, writeFigures } from './scenario.js';
 import type { Scenario } from './scenario.js';
 
 const scenarios: readonly Scenario[] = [
-  pathScenario,
+  broadcastScenario,
+  crashingScenario,
   crestScenario,
   holScenario,
   measureScenario,
-  tailScenario,
-  broadcastScenario,
+  pathScenario,
   slopeScenario,
+  tailScenario,
 ];
 
 const usage = `usage: npm run bench -- SCENARIO [--seed N] [--runs N] [--json FILE]
