--- a/packages/entry/src/gates.ts
+++ b/packages/entry/src/gates.ts
@@ -4,7 +4,10 @@
 /** The entry instances as this one sees them. */
 export interface Members {
   readonly self: InstanceId;
-  /** Live entry instances, this one included, sorted by name. */
+  /**
+   * Live entry instances, sorted by name. This one is included while it may count itself live: not
+   * before its first answer of a peer, and not between a pause and a confirmed refutation.
+   */
   readonly live: readonly InstanceId[];
   /**
    * Finds the present incarnation of a live instance.
