--- a/packages/proxy/test/pool.test.ts
+++ b/packages/proxy/test/pool.test.ts
@@ -3,7 +3,7 @@
 import { createServer as createTcp } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
-import { EndpointPool } from '../src/index.js';
+import { Departure, EndpointPool } from '../src/index.js';
 import type { Attempt, PoolLimits } from '../src/index.js';
 
 const attempt = (change: Partial<Attempt> = {}): Attempt => ({
@@ -118,10 +118,10 @@
   it('judges a call that is cancelled while it waits for a connection', async () => {
     const { pool, sockets } = await openNumbered({ maxConnections: 1 }, () => undefined);
     void pool.send(attempt());
-    const cancel = new AbortController();
-    const queued = read(pool, { signal: cancel.signal });
+    const departure = new Departure();
+    const queued = read(pool, { departure });
     await wait(50);
-    cancel.abort();
+    departure.cancel();
     expect(await queued).toBe('cancelled not-run');
     expect(sockets).toHaveLength(1);
   });
@@ -136,6 +136,16 @@
     expect(sockets).toHaveLength(2);
   });
 
+  it('closes idle connections when its cap falls', async () => {
+    const { pool } = await openNumbered();
+    await Promise.all([read(pool), read(pool), read(pool)]);
+    expect(pool.size).toBe(3);
+    pool.setMaxConnections(1);
+    expect(pool.size).toBe(1);
+    expect(await Promise.all([read(pool), read(pool)])).toHaveLength(2);
+    expect(pool.size).toBe(1);
+  });
+
   it('reuses the connection that was used last, and drops those that are idle', async () => {
     const { pool } = await openNumbered({ idleMs: 150 });
     expect((await Promise.all([read(pool), read(pool)])).sort()).toEqual(['0', '1']);
