Count credits without building lists, and keep parsed load reports

Cause: a profile at 1,500 calls/s through one entry instance showed 5.3% of the processor time in lists of free credits, 3.8% in lists of loans and 1.8% in checking load reports, all of it once or more with each call. Change: counting stops at the number that the caller asks for, loans are not looked for after the last one has ended, and reports that repeat are read once.

--- a/packages/credits/src/pool.ts
+++ b/packages/credits/src/pool.ts
@@ -69,6 +69,9 @@
 
   #loans = 0;
 
+  /** When the last loan taken so far ends; there is none to look for after that. */
+  #borrowedUntil = 0;
+
   /**
    * @param service - The service, so that the homes of services differ.
    * @param self - This instance.
@@ -107,7 +110,15 @@
 
   /** @returns The free credits of an endpoint that this instance may use now. */
   countFree(endpoint: EndpointId): number {
-    return this.#listFree(endpoint).length;
+    const now = this.#clock.now();
+    const states = this.#states.get(endpoint) ?? [];
+    const limit = Math.min(states.length, this.#findLimit(endpoint));
+    let count = 0;
+    for (let index = 0; index < limit; index++) {
+      const state = states[index] as State;
+      if (!state.isBusy && isHeld(state, this.#self, now)) count += 1;
+    }
+    return count;
   }
 
   /** @returns The calls of this instance that hold a credit of an endpoint. */
@@ -115,10 +126,26 @@
     return (this.#states.get(endpoint) ?? []).filter(({ isBusy }) => isBusy).length;
   }
 
-  /** @returns Free credits that `lend` could lend. */
-  countLendable(): number {
-    const ids = [...this.#states.keys()];
-    return ids.reduce((sum, id) => sum + this.#listLendable(id).length, 0);
+  /**
+   * Counts the free credits that `lend` could lend.
+   *
+   * @param most - Counting ends at this number; each call asks only for a few.
+   * @returns The count, at most `most`.
+   */
+  countLendable(most = Number.POSITIVE_INFINITY): number {
+    const now = this.#clock.now();
+    let count = 0;
+    for (const [id, states] of this.#states) {
+      const slots = Math.min(states.length / 2, this.#findLimit(id));
+      for (let index = 0; index < slots; index++) {
+        const state = states[index] as State;
+        if (state.home === this.#self && !state.isBusy && isHeld(state, this.#self, now)) {
+          count += 1;
+          if (count >= most) return count;
+        }
+      }
+    }
+    return count;
   }
 
   /**
@@ -254,6 +281,7 @@
       if (borrowed?.peer === peer && borrowed.loan === loan.loan && borrowed.until > until) return;
       if (borrowed?.peer === peer && borrowed.loan === loan.loan && borrowed.until < 0) return;
       this.#set(state, { borrowed: { ...loan, peer, until } });
+      this.#borrowedUntil = Math.max(this.#borrowedUntil, until);
     });
   }
 
@@ -306,6 +334,8 @@
 
   #listBorrowed(): (State & { readonly borrowed: LoanWith })[] {
     const now = this.#clock.now();
+    // Loans are few, and this runs with each call.
+    if (now >= this.#borrowedUntil) return [];
     return [...this.#states.values()]
       .flat()
       .filter(
@@ -314,11 +344,8 @@
       );
   }
 
-  /** The time decides, not a timer: a paused holder finds its loan lapsed when it goes on. */
-  #isHeld({ home, lent, borrowed }: State): boolean {
-    const now = this.#clock.now();
-    if (home === this.#self) return !lent || lent.until <= now;
-    return borrowed !== undefined && borrowed.until > now;
+  #isHeld(state: State): boolean {
+    return isHeld(state, this.#self, this.#clock.now());
   }
 
   #listLendable(endpoint: EndpointId, limit?: number): State[] {
@@ -341,3 +368,9 @@
     if (states && state) states[index] = { ...state, ...change };
   }
 }
+
+/** The time decides, not a timer: a paused holder finds its loan lapsed when it goes on. */
+function isHeld({ home, lent, borrowed }: State, self: InstanceId, now: number): boolean {
+  if (home === self) return !lent || lent.until <= now;
+  return borrowed !== undefined && borrowed.until > now;
+}
--- a/packages/entry/src/report.ts
+++ b/packages/entry/src/report.ts
@@ -17,8 +17,9 @@
 
 const prefix = 'JSON ';
 
-/** A report is read by the selection and by the detection of leaving endpoints, one after the other. */
-let last: { readonly text: string; readonly report: LoadReport | undefined } | undefined;
+/** Endpoints repeat the same few reports, and checking one takes longer than finding it. */
+const known = new Map<string, LoadReport | undefined>();
+const maxKnown = 256;
 
 /**
  * Reads an ORCA load report.
@@ -28,8 +29,11 @@
  */
 export function readReport(text: string | undefined): LoadReport | undefined {
   if (!text) return undefined;
-  if (last?.text !== text) last = { text, report: parseReport(text) };
-  return last.report;
+  if (known.has(text)) return known.get(text);
+  if (known.size >= maxKnown) known.clear();
+  const report = parseReport(text);
+  known.set(text, report);
+  return report;
 }
 
 function parseReport(text: string): LoadReport | undefined {
--- a/packages/entry/src/sharing.ts
+++ b/packages/entry/src/sharing.ts
@@ -178,7 +178,7 @@
     }
     // Idle loans are kept for a short time, for calls that come soon.
     if (now - this.#borrowedAt >= keepLoansMs) {
-      this.#returnLoans(Math.max(0, lowWater - this.#credits.countLendable()));
+      this.#returnLoans(Math.max(0, lowWater - this.#credits.countLendable(lowWater)));
     }
     this.#serveQueue();
   }
@@ -300,7 +300,7 @@
   /** Peers hear soon when calls begin or cease to wait here, or free credits begin or cease. */
   #recordChange(): void {
     const isWaiting = this.#queue.size > 0;
-    const hasFree = !isWaiting && this.#credits.countLendable() > 0;
+    const hasFree = !isWaiting && this.#credits.countLendable(1) > 0;
     const { isWaiting: wasWaiting, hasFree: hadFree } = this.#told;
     this.#options.market.recordChange(isWaiting !== wasWaiting || hasFree !== hadFree);
   }
@@ -412,7 +412,9 @@
   }
 
   #borrowWhenLow(): void {
-    const free = this.#credits.countLendable() + this.#credits.countIdleLoans();
+    const lendable = this.#credits.countLendable(lowWater);
+    if (lendable >= lowWater) return;
+    const free = lendable + this.#credits.countIdleLoans();
     if (free < lowWater) this.#borrow(lowWater - free);
   }
 
