--- a/packages/bench/src/history.ts
+++ b/packages/bench/src/history.ts
@@ -11,6 +11,8 @@
   /** 0 when the connection broke or no answer came. */
   readonly status: number;
   readonly outcome: string;
+  /** Text of a refusal. */
+  readonly error: string;
   readonly replayed: boolean;
 }
 
@@ -50,11 +52,12 @@
   const random = makeRandom(plan.seed);
   const sendings: Sending[] = [];
   const calls: Promise<void>[] = [];
+  const unready = new Set<number>();
   const keys = Math.floor((plan.ms / 1000) * plan.callsPerSecond);
-  const faults = runFaults(fleet, plan, makeRandom(plan.seed + 1));
+  const faults = runFaults(fleet, plan, makeRandom(plan.seed + 1), unready);
   for (let index = 0; index < keys; index++) {
     const own = makeRandom(Math.floor(random.next() * 2 ** 31));
-    calls.push(runCaller(fleet, plan, index, own, sendings));
+    calls.push(runCaller(fleet, { ...plan, index, unready }, own, sendings));
     await sleep((1000 / plan.callsPerSecond) * 2 * random.next());
   }
   await faults;
@@ -67,12 +70,11 @@
 /** Sends one key until there is an answer of an endpoint, and sometimes once more after it. */
 async function runCaller(
   fleet: Fleet,
-  { seed, path }: HistoryPlan,
-  index: number,
+  { seed, path, index, unready }: HistoryPlan & { index: number; unready: ReadonlySet<number> },
   random: Random,
   sendings: Sending[],
 ): Promise<void> {
-  const port = async () => (await findReady(fleet, random)).callerPort;
+  const port = async () => (await findReady(fleet, random, unready)).callerPort;
   let key = `key-${seed}-${index}`;
   if (random.next() < 0.4) {
     const reply = await call(await port(), '/.well-known/dotterelpass/ticket', {
@@ -97,6 +99,7 @@
       answeredAt: Date.now(),
       status: reply?.status ?? 0,
       outcome: String(reply?.headers[outcomeHeader] ?? ''),
+      error: reply && reply.status !== 200 ? reply.body.toString() : '',
       replayed: reply?.headers['idempotency-replayed'] === 'true',
     };
     sendings.push(sending);
@@ -112,20 +115,26 @@
 }
 
 /** Picks an instance as the platform's balancer does: it may be paused, but not unready. */
-async function findReady(fleet: Fleet, random: Random): Promise<EntryProcess> {
+async function findReady(
+  fleet: Fleet,
+  random: Random,
+  unready: ReadonlySet<number>,
+): Promise<EntryProcess> {
   for (;;) {
-    const entry = pickOne(random, fleet.entries);
-    const options = { timeoutMs: 100 };
-    const reply = await call(entry.operatorPort, '/readyz', options).catch(() => undefined);
-    if (reply === undefined || reply.status === 200) return entry;
+    const index = Math.floor(random.next() * fleet.entries.length);
+    if (!unready.has(index)) return fleet.entries[index] as EntryProcess;
     await sleep(20);
   }
 }
 
-async function runFaults(fleet: Fleet, plan: HistoryPlan, random: Random): Promise<void> {
+async function runFaults(
+  fleet: Fleet,
+  plan: HistoryPlan,
+  random: Random,
+  unready: Set<number>,
+): Promise<void> {
   const end = performance.now() + plan.ms;
   const restarts: Promise<void>[] = [];
-  const restarting = new Set<number>();
   while (performance.now() < end) {
     await sleep(plan.faultEveryMs * random.next());
     const index = Math.floor(random.next() * fleet.entries.length);
@@ -141,9 +150,9 @@
     ]);
     const ms = 200 + Math.floor(random.next() * 2500);
     plan.tell(`${kind} ${kind === 'kill' || kind === 'pause' ? index : ''} ${ms} ms`);
-    if (kind === 'kill' && !restarting.has(index)) {
-      restarting.add(index);
-      restarts.push(fleet.restartEntry(index).finally(() => restarting.delete(index)));
+    if (kind === 'kill' && !unready.has(index)) {
+      unready.add(index);
+      restarts.push(restart(fleet, index).finally(() => unready.delete(index)));
     }
     if (kind === 'pause') restarts.push(pause(fleet, index, ms));
     if (kind === 'lost') {
@@ -159,6 +168,11 @@
   await Promise.all(restarts);
 }
 
+async function restart(fleet: Fleet, index: number): Promise<void> {
+  await fleet.restartEntry(index);
+  await fleet.waitUntilReady(fleet.entries[index] as EntryProcess);
+}
+
 async function pause(fleet: Fleet, index: number, ms: number): Promise<void> {
   const child = fleet.entries[index]?.running.process;
   child?.kill('SIGSTOP');
