--- a/packages/bench/src/parts.ts
+++ b/packages/bench/src/parts.ts
@@ -11,8 +11,8 @@
 import type { Incarnation, InstanceId, ServiceId } from '@dotterelpass/values';
 import { encode } from 'cbor-x';
 import { ok } from 'neverthrow';
-import { measureMemory, measureProcessor } from './quantity.js';
-import type { Part } from './quantity.js';
+import { measureMemory, measureProcessor } from './gauge.js';
+import type { Part } from './gauge.js';
 
 /** Bytes of a TLS record and of the TCP and IP headers around one small message. */
 const frameBytes = 29 + 52;
