Say may-have-run when a call with a key is refused before its key is looked up

Cause: an instance that was starting answered a re-send with 404 or 503 and not-run, while an earlier sending of the key had run; the caller would have taken the payment for not made. The history test had been narrowed to keep away from starting instances. Change: refusals before the look-up say may-have-run when there is a key, and the history sends to any instance again.

--- a/packages/bench/src/history.ts
+++ b/packages/bench/src/history.ts
@@ -52,12 +52,11 @@
   const random = makeRandom(plan.seed);
   const sendings: Sending[] = [];
   const calls: Promise<void>[] = [];
-  const unready = new Set<number>();
   const keys = Math.floor((plan.ms / 1000) * plan.callsPerSecond);
-  const faults = runFaults(fleet, plan, makeRandom(plan.seed + 1), unready);
+  const faults = runFaults(fleet, plan, makeRandom(plan.seed + 1));
   for (let index = 0; index < keys; index++) {
     const own = makeRandom(Math.floor(random.next() * 2 ** 31));
-    calls.push(runCaller(fleet, { ...plan, index, unready }, own, sendings));
+    calls.push(runCaller(fleet, { ...plan, index }, own, sendings));
     await sleep((1000 / plan.callsPerSecond) * 2 * random.next());
   }
   await faults;
@@ -70,14 +69,15 @@
 /** Sends one key until there is an answer of an endpoint, and sometimes once more after it. */
 async function runCaller(
   fleet: Fleet,
-  { seed, path, index, unready }: HistoryPlan & { index: number; unready: ReadonlySet<number> },
+  { seed, path, index }: HistoryPlan & { index: number },
   random: Random,
   sendings: Sending[],
 ): Promise<void> {
-  const port = async () => (await findReady(fleet, random, unready)).callerPort;
+  // Any instance, also one that is paused, gone or not ready yet.
+  const pickPort = () => pickOne(random, fleet.entries).callerPort;
   let key = `key-${seed}-${index}`;
   if (random.next() < 0.4) {
-    const reply = await call(await port(), '/.well-known/dotterelpass/ticket', {
+    const reply = await call(pickPort(), '/.well-known/dotterelpass/ticket', {
       timeoutMs: 1000,
     }).catch(() => undefined);
     if (reply?.status !== 200) return;
@@ -85,7 +85,7 @@
   }
   const workMs = Math.floor(random.next() * 60);
   const send = async () => {
-    const target = await port();
+    const target = pickPort();
     const sentAt = Date.now();
     const reply = await call(target, `${path}?ms=${workMs}`, {
       method: 'POST',
@@ -114,27 +114,10 @@
   }
 }
 
-/** Picks an instance as the platform's balancer does: it may be paused, but not unready. */
-async function findReady(
-  fleet: Fleet,
-  random: Random,
-  unready: ReadonlySet<number>,
-): Promise<EntryProcess> {
-  for (;;) {
-    const index = Math.floor(random.next() * fleet.entries.length);
-    if (!unready.has(index)) return fleet.entries[index] as EntryProcess;
-    await sleep(20);
-  }
-}
-
-async function runFaults(
-  fleet: Fleet,
-  plan: HistoryPlan,
-  random: Random,
-  unready: Set<number>,
-): Promise<void> {
+async function runFaults(fleet: Fleet, plan: HistoryPlan, random: Random): Promise<void> {
   const end = performance.now() + plan.ms;
   const restarts: Promise<void>[] = [];
+  const starting = new Set<number>();
   while (performance.now() < end) {
     await sleep(plan.faultEveryMs * random.next());
     const index = Math.floor(random.next() * fleet.entries.length);
@@ -150,9 +133,9 @@
     ]);
     const ms = 200 + Math.floor(random.next() * 2500);
     plan.tell(`${kind} ${kind === 'kill' || kind === 'pause' ? index : ''} ${ms} ms`);
-    if (kind === 'kill' && !unready.has(index)) {
-      unready.add(index);
-      restarts.push(restart(fleet, index).finally(() => unready.delete(index)));
+    if (kind === 'kill' && !starting.has(index)) {
+      starting.add(index);
+      restarts.push(restart(fleet, index).finally(() => starting.delete(index)));
     }
     if (kind === 'pause') restarts.push(pause(fleet, index, ms));
     if (kind === 'lost') {
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -12,6 +12,7 @@
 import { findTenant, findTimeoutMs, hashRequest, timeoutHeader } from './call.js';
 import type { Call } from './call.js';
 import type { ConfigFeed } from './config.js';
+import { toEarlyRefusal } from './early.js';
 import { Flights } from './flights.js';
 import type { OnceGate, OnceOutcome, SuspectGate } from './gates.js';
 
@@ -124,7 +125,8 @@
     const service = findService(this.#config.inForce.services, target.host, target.path);
     if (!service) {
       const message = `no service has a route for ${target.path}`;
-      serveRefusal(incoming, { status: 404, verdict: 'not-run', message });
+      const refusal = { status: 404, verdict: 'not-run', message } as const;
+      serveRefusal(incoming, toEarlyRefusal(request, refusal));
       return;
     }
     const rule = findRule(service, request.method ?? '', target.path);
@@ -159,7 +161,7 @@
     const method = request.method ?? '';
     const timeoutMs = findTimeoutMs(rule, request.headers[timeoutHeader]);
     const body = await readBody(request, rule.maxBodyBytes, timeoutMs, incoming.acceptBody);
-    if (body.isErr()) return serveRefusal(incoming, body.error);
+    if (body.isErr()) return serveRefusal(incoming, toEarlyRefusal(request, body.error));
     const { once, suspects } = this.#options;
     const needsHash = suspects !== undefined || (once !== undefined && rule.repeat === 'once');
     const call: Call = {
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -158,9 +158,7 @@
 const suspects = new FleetSuspects({ identity, hub, members, log, metrics });
 const calls = new CallPath(config, balancer, log, metrics, { once, suspects });
 const gate = new ReadyGate(config, members);
-const callers = new CallerServer((call) =>
-  gate.isOpen ? calls.serve(call) : gate.refuse(call.response),
-);
+const callers = new CallerServer((call) => (gate.isOpen ? calls.serve(call) : gate.refuse(call)));
 let stopping = false;
 const desk = new OperatorDesk({
   token: settings.operatorToken,
--- a/packages/entry/src/ready.ts
+++ b/packages/entry/src/ready.ts
@@ -1,8 +1,7 @@
-import { randomUUID } from 'node:crypto';
-import type { ServerResponse } from 'node:http';
 import { refuse } from '@dotterelpass/proxy';
-import type { RequestId } from '@dotterelpass/values';
+import type { IncomingCall } from '@dotterelpass/proxy';
 import type { ConfigFeed } from './config.js';
+import { toEarlyRefusal } from './early.js';
 import type { FleetMembers } from './peers.js';
 
 /** Keeps calls out until this instance knows its configuration and its fleet. */
@@ -36,14 +35,15 @@
   /**
    * Answers a call that came too early.
    *
-   * @param response - Where the answer goes.
+   * @param call - The call.
    */
-  async refuse(response: ServerResponse): Promise<void> {
-    refuse(response, randomUUID() as RequestId, {
+  async refuse({ request, response, id }: IncomingCall): Promise<void> {
+    const refusal = toEarlyRefusal(request, {
       status: 503,
       verdict: 'not-run',
       message: 'this instance has no configuration yet',
       retryAfterSeconds: 1,
     });
+    refuse(response, id, refusal);
   }
 }
