--- a/packages/entry/test/early.test.ts
+++ b/packages/entry/test/early.test.ts
@@ -29,7 +29,7 @@
     });
     try {
       const head = `POST /x HTTP/1.1\r\nHost: a\r\n${key}Content-Length: 2\r\n\r\nab`;
-      const { text } = await exchange(path.port, head);
+      const { text } = await exchange(path.port, [head]);
       expect(text).toMatch(/^HTTP\/1.1 413/);
       expect(text.toLowerCase()).toContain(`x-request-outcome: ${verdict}`);
     } finally {
