--- a/packages/entry/src/sharing.ts
+++ b/packages/entry/src/sharing.ts
@@ -12,28 +12,19 @@
   InstanceId,
   Random,
   Service,
-  ServiceId,
 } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { EndpointAccess } from './baseline.js';
-import type { LoanRequest, PeerLoad, ServiceLoad, SharedService } from './loads.js';
+import type { LoanRequest, ServiceLoad, SharedService } from './loads.js';
+import { LoanBook } from './loans.js';
+import type { LoanMarket } from './loans.js';
 import { RecentMax } from './recent.js';
 import { readReport } from './report.js';
 import type { LoadReport } from './report.js';
 import { SlotSource, refuseCall } from './source.js';
 import type { Slot, SlotOutcome, SlotRequest } from './source.js';
 
-/** What a shared service asks of the messages to peers. */
-export interface LoanMarket {
-  listLoads(service: ServiceId): ReadonlyMap<InstanceId, PeerLoad>;
-  requestLoans(service: ServiceId, peer: InstanceId, request: LoanRequest): void;
-  sendReturn(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void;
-  /** Lends unasked to a peer, which counts the loans from its last `loads` message. */
-  sendLoans(service: ServiceId, peer: InstanceId, loans: readonly Loan[]): void;
-  recordChange(isUrgent: boolean): void;
-}
-
 export interface SharingOptions {
   readonly self: InstanceId;
   readonly access: EndpointAccess;
@@ -50,19 +41,8 @@
   readonly resolve: (answer: Result<Slot, Refusal>) => void;
 }
 
-/** A question for credits is repeated after this time, in milliseconds. */
-const askAgainMs = 10;
-/** Loans with a call on them are renewed when they end within this time, in milliseconds. */
-const renewWithinMs = 250;
-const renewEveryMs = 50;
-/** While no call waits, credits are borrowed below this number of free ones. */
-const lowWater = 2;
-/** Idle loans are kept this long after the last borrowing, in milliseconds. */
-const keepLoansMs = 50;
 /** Time beyond the way that a freed slot waits for its next call, in milliseconds. */
 const handlingMs = 0.3;
-/** An endpoint that a peer wants for itself gets no other calls for this long, in milliseconds. */
-const setAsideMs = 100;
 const aloneStepMs = 5;
 /** An endpoint that answered no call for this long is probed, in milliseconds. */
 const idleMs = 1000;
@@ -81,9 +61,7 @@
 
   readonly #known = new Map<EndpointId, RecentMax>();
 
-  readonly #setAside = new Map<EndpointId, { owner: InstanceId; until: number }>();
-
-  readonly #askedAt = new Map<InstanceId, number>();
+  readonly #loans: LoanBook;
 
   #specs: ReadonlyMap<EndpointId, EndpointSpec>;
 
@@ -98,10 +76,6 @@
 
   #told = { isWaiting: false, hasFree: false };
 
-  #renewedAt = 0;
-
-  #borrowedAt = 0;
-
   constructor(service: Service, options: SharingOptions) {
     super(service);
     this.#options = options;
@@ -111,6 +85,14 @@
     this.#credits = new CreditPool(service.name, options.self, options.clock, (id) =>
       this.#findLimit(id),
     );
+    this.#loans = new LoanBook({
+      service: service.name,
+      self: options.self,
+      market: options.market,
+      clock: options.clock,
+      credits: this.#credits,
+      countQueued: () => this.#queue.size,
+    });
     this.#queue = new AdmissionQueue(options.clock, toLimits(service));
   }
 
@@ -162,7 +144,7 @@
     if (request.alone) return this.#acquireAlone(request);
     const slot = this.#queue.size === 0 ? this.#findSlot(request, 0) : undefined;
     if (slot) {
-      this.#borrowWhenLow();
+      this.#loans.borrowWhenLow();
       return ok(slot);
     }
     return this.#wait(request);
@@ -170,16 +152,8 @@
 
   /** Does what time makes due: renewals, returns, deadlines of waiting calls. */
   advance(): void {
-    const now = this.#options.clock.now();
     this.#updateEjected();
-    if (now - this.#renewedAt >= renewEveryMs) {
-      this.#renewedAt = now;
-      this.#renewLoans();
-    }
-    // Idle loans are kept for a short time, for calls that come soon.
-    if (now - this.#borrowedAt >= keepLoansMs) {
-      this.#returnLoans(Math.max(0, lowWater - this.#credits.countLendable(lowWater)));
-    }
+    this.#loans.advance();
     this.#serveQueue();
   }
 
@@ -196,35 +170,16 @@
     return { free, inFlight, queued, calls };
   }
 
-  lend(peer: InstanceId, { wanted, queued, free, renew, only }: LoanRequest): readonly Loan[] {
-    const renewed = this.#credits.renew(peer, renew);
-    if (only !== undefined) {
-      const until = this.#options.clock.now() + setAsideMs;
-      const held = this.#setAside.get(only);
-      // Two instances that want the same endpoint for themselves would wait for each other.
-      if (held && held.owner !== peer && held.until > this.#options.clock.now()) return renewed;
-      this.#setAside.set(only, { owner: peer, until });
-      return [...renewed, ...this.#credits.lend(peer, wanted, 0, only)];
-    }
-    if (this.#queue.size > 0 || wanted === 0) return renewed;
-    const own = this.#credits.countLendable();
-    // A peer without waiting calls gets no more than brings both to the same number.
-    const most = queued > 0 ? wanted : Math.min(wanted, Math.floor((own - free) / 2));
-    return [...renewed, ...this.#credits.lend(peer, most, 0)];
+  lend(peer: InstanceId, request: LoanRequest): readonly Loan[] {
+    return this.#loans.lend(peer, request);
   }
 
   offerLoans(peer: InstanceId, load: ServiceLoad): readonly Loan[] {
-    if (this.#queue.size > 0) return [];
-    const own = this.#credits.countLendable();
-    if (own === 0) return [];
-    const loads = this.#options.market.listLoads(this.service.name);
-    const all = [...loads.values()].reduce((sum, { free }) => sum + free, own);
-    return this.#credits.lend(peer, Math.ceil((load.queued * own) / all), 0);
+    return this.#loans.offerLoans(peer, load);
   }
 
   receiveLoans(peer: InstanceId, loans: readonly Loan[], askedAt: number): void {
-    this.#credits.receiveLoans(peer, loans, askedAt);
-    this.#borrowedAt = this.#options.clock.now();
+    this.#loans.receiveLoans(peer, loans, askedAt);
     this.#serveQueue();
   }
 
@@ -280,23 +235,10 @@
     this.#isServing = false;
     if (this.#queue.size > 0) {
       this.#recordChange();
-      this.#borrow(this.#queue.size);
+      this.#loans.borrow(this.#queue.size);
     }
   }
 
-  /** Sends a freed credit at once to a peer that has calls waiting: there is no use for it here. */
-  #serveWaitingPeers(): void {
-    if (this.#queue.size > 0) return;
-    const { market } = this.#options;
-    const waiting = [...market.listLoads(this.service.name)].filter(([, load]) => load.queued > 0);
-    if (waiting.length === 0) return;
-    this.#returnLoans(0);
-    const [longest] = waiting.sort(([, a], [, b]) => b.queued - a.queued);
-    if (!longest) return;
-    const [peer, load] = longest;
-    market.sendLoans(this.service.name, peer, this.#credits.lend(peer, load.queued, 0));
-  }
-
   /** Peers hear soon when calls begin or cease to wait here, or free credits begin or cease. */
   #recordChange(): void {
     const isWaiting = this.#queue.size > 0;
@@ -351,7 +293,7 @@
         credits.forEach((credit) => this.#credits.release(credit));
         this.#recordKnown(endpoint.id);
         this.#serveQueue();
-        this.#serveWaitingPeers();
+        this.#loans.serveWaitingPeers();
         this.#recordChange();
       },
     };
@@ -402,8 +344,7 @@
   #findLimit(id: EndpointId): number {
     const endpoint = this.#specs.get(id);
     if (!endpoint || !this.#options.access.isUsable(endpoint) || this.#ejected.has(id)) return 0;
-    const aside = this.#setAside.get(id);
-    if (aside && aside.until > this.#options.clock.now()) return 0;
+    if (this.#loans.isSetAside(id)) return 0;
     const credits = this.health.countCredits(id, endpoint.slots);
     const isWaiting = this.#isServing || this.#queue.size > 0;
     if (credits < endpoint.slots || !isWaiting) return credits;
@@ -411,58 +352,9 @@
     return credits + countExtra(endpoint.slots, rttMs, this.health.averageMs);
   }
 
-  #borrowWhenLow(): void {
-    const lendable = this.#credits.countLendable(lowWater);
-    if (lendable >= lowWater) return;
-    const free = lendable + this.#credits.countIdleLoans();
-    if (free < lowWater) this.#borrow(lowWater - free);
-  }
-
-  /** Asks the peer with the most idle credits. */
-  #borrow(wanted: number): void {
-    const now = this.#options.clock.now();
-    const peers = [...this.#options.market.listLoads(this.service.name)]
-      .filter(([peer, { free }]) => free > 0 && now - (this.#askedAt.get(peer) ?? 0) >= askAgainMs)
-      .sort(([, a], [, b]) => b.free - a.free);
-    const [richest] = peers;
-    if (!richest) return;
-    const [peer, load] = richest;
-    this.#askedAt.set(peer, now);
-    this.#options.market.requestLoans(this.service.name, peer, {
-      wanted: Math.min(wanted, load.free),
-      queued: this.#queue.size,
-      free: this.#credits.countLendable(),
-      renew: [],
-    });
-  }
-
-  #renewLoans(): void {
-    const loans = this.#credits.listRenewable(renewWithinMs);
-    new Set(loans.map(({ peer }) => peer)).forEach((peer) => {
-      const renew = loans
-        .filter((loan) => loan.peer === peer)
-        .map(({ endpoint, index, loan }) => ({ endpoint, index, loan }));
-      const request = { wanted: 0, queued: this.#queue.size, free: 0, renew };
-      this.#options.market.requestLoans(this.service.name, peer, request);
-    });
-  }
-
-  #returnLoans(keep: number): void {
-    if (this.#queue.size > 0) return;
-    // Loans that are collected for a call that must run alone are idle as well.
-    if ([...this.#setAside.values()].some(({ owner }) => owner === this.#options.self)) return;
-    const returned = this.#credits.dropLoans(keep);
-    new Set(returned.map(({ peer }) => peer)).forEach((peer) => {
-      const loans = returned
-        .filter((loan) => loan.peer === peer)
-        .map(({ endpoint, index, loan }) => ({ endpoint, index, loan }));
-      this.#options.market.sendReturn(this.service.name, peer, loans);
-    });
-  }
-
   /** Collects all credits of one endpoint, from peers as well, until no other call runs there. */
   async #acquireAlone(request: SlotRequest): Promise<Result<Slot, Refusal>> {
-    const { clock, self, market, access } = this.#options;
+    const { clock, self, access } = this.#options;
     const usable = this.service.endpoints.filter((endpoint) => access.isUsable(endpoint));
     const untried = usable.filter(({ id }) => !request.tried.includes(id));
     const [endpoint] = [...(untried.length > 0 ? untried : usable)].sort(
@@ -471,20 +363,16 @@
     if (!endpoint) return refuseCall(`service ${this.service.name} has no active endpoint`);
     try {
       while (clock.now() < request.deadlineAt && !request.signal.aborted) {
-        this.#setAside.set(endpoint.id, { owner: self, until: clock.now() + setAsideMs });
         const credits = this.#credits.acquireAll(endpoint.id);
         if (credits) return ok(this.#makeSlot(endpoint, request, credits));
-        const only = endpoint.id;
-        const question = { wanted: endpoint.slots, queued: 0, free: 0, renew: [], only };
-        this.#live
-          .filter((peer) => peer !== self)
-          .forEach((peer) => market.requestLoans(this.service.name, peer, question));
+        const peers = this.#live.filter((peer) => peer !== self);
+        this.#loans.collect(endpoint.id, endpoint.slots, peers);
         await new Promise((resolve) => {
           setTimeout(resolve, aloneStepMs);
         });
       }
     } finally {
-      this.#setAside.delete(endpoint.id);
+      this.#loans.endCollection(endpoint.id);
     }
     return refuseCall('no endpoint became free for a call that must run alone');
   }
