--- a/packages/bench/src/tail.ts
+++ b/packages/bench/src/tail.ts
@@ -51,7 +51,7 @@
       delays: true,
     },
     makePlan(seed),
-    makeFaults(seed, isOracle),
+    makeFaults(seed),
   );
   return measureLatency(listLatencies(outcomes));
 }
@@ -74,7 +74,7 @@
 }
 
 /** One endpoint is slow all the time, one at a time has a noisy neighbour, and some pause. */
-function makeFaults(seed: number, isOracle: boolean): FaultStep[] {
+function makeFaults(seed: number): FaultStep[] {
   const random = makeRandom(seed);
   const find = (fleet: Fleet, index: number) => fleet.endpoints[index] as EndpointProcess;
   const steps: FaultStep[] = [
@@ -91,7 +91,6 @@
     const ms = 20 + random.next() * 180;
     steps.push({ atMs, act: (fleet) => runPause(find(fleet, index), ms) });
   }
-  void isOracle;
   return steps;
 }
 
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -108,6 +108,11 @@
       describe: 'Place of this instance, from 0; by default its rank in the list of the platform',
       schema: z.coerce.number().int().min(0).optional(),
     },
+    requireKey: {
+      describe: 'Refuse calls that run at most once and bring neither a key nor a ticket',
+      schema: settingSchemas.switch.default(false),
+      switch: true,
+    },
     stopWaitMs: {
       describe: 'Time between going unready and refusing connections, in milliseconds',
       schema: settingSchemas.milliseconds.default(1000),
@@ -156,7 +161,11 @@
 const identity = { instance, incarnation };
 const once = new FleetOnce({ identity, hub, members, platform, log, metrics }, settings.peerKey);
 const suspects = new FleetSuspects({ identity, hub, members, log, metrics });
-const calls = new CallPath(config, balancer, log, metrics, { once, suspects });
+const calls = new CallPath(config, balancer, log, metrics, {
+  once,
+  suspects,
+  requireKey: settings.requireKey,
+});
 const gate = new ReadyGate(config, members);
 const callers = new CallerServer((call) => (gate.isOpen ? calls.serve(call) : gate.refuse(call)));
 let stopping = false;
