--- a/packages/entry/src/loads.ts
+++ b/packages/entry/src/loads.ts
@@ -82,7 +82,7 @@
 /** The same while no call waits: then nobody acts on the figures at once. */
 const calmMs = 25;
 /** Most time between two messages, in milliseconds. */
-const idleMs = 250;
+const idleMs = 500;
 /** A peer that was not heard for this long is taken to have nothing free. */
 const staleMs = 1000;
 
