--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -5,6 +5,7 @@
 import { crashingScenario } from './crashing.js';
 import { crestScenario } from './crest.js';
 import { holScenario } from './hol.js';
+import { idleScenario } from './idle.js';
 import { measureScenario } from './measure.js';
 import { onceScenario } from './once.js';
 import { pathScenario } from './path.js';
@@ -18,6 +19,7 @@
   crashingScenario,
   crestScenario,
   holScenario,
+  idleScenario,
   measureScenario,
   onceScenario,
   pathScenario,
--- a/packages/bench/src/path.ts
+++ b/packages/bench/src/path.ts
@@ -95,7 +95,7 @@
 }
 
 /** @returns Processor time of a process so far, user and system, in seconds. */
-async function readCpuSeconds(pid: number): Promise<number> {
+export async function readCpuSeconds(pid: number): Promise<number> {
   const text = await readFile(`/proc/${pid}/stat`, 'utf8');
   const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
   const ticksPerSecond = 100;
