--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -18,7 +18,7 @@
   TicketMint,
 } from '@dotterelpass/once';
 import type { Body, Identity, PeerHub } from '@dotterelpass/peers';
-import type { PlatformClient } from '@dotterelpass/platform';
+import type { PlatformClient } from '@dotterelpass/store';
 import type { Log, Metrics } from '@dotterelpass/telemetry';
 import { rankByHash, systemClock } from '@dotterelpass/values';
 import type { InstanceId } from '@dotterelpass/values';
--- a/packages/entry/src/config.ts
+++ b/packages/entry/src/config.ts
@@ -1,7 +1,7 @@
 import { InForce, readDocument } from '@dotterelpass/configuration';
 import type { DocumentDigest, OfferOutcome, ServiceDocument } from '@dotterelpass/configuration';
-import type { PlatformClient, Reading } from '@dotterelpass/platform';
-import { Backoff } from '@dotterelpass/platform';
+import type { PlatformClient, Reading } from '@dotterelpass/store';
+import { Backoff } from '@dotterelpass/store';
 import type { Log, Metrics } from '@dotterelpass/telemetry';
 import { systemRandom } from '@dotterelpass/values';
 import type { ServiceId } from '@dotterelpass/values';
--- a/packages/entry/src/documents.ts
+++ b/packages/entry/src/documents.ts
@@ -5,7 +5,7 @@
   Stored,
   StoreError,
 } from '@dotterelpass/configuration';
-import type { PlatformClient } from '@dotterelpass/platform';
+import type { PlatformClient } from '@dotterelpass/store';
 import type { ServiceId } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
--- a/packages/entry/src/listing.ts
+++ b/packages/entry/src/listing.ts
@@ -1,5 +1,5 @@
-import { Backoff } from '@dotterelpass/platform';
-import type { ListedInstance, PlatformClient } from '@dotterelpass/platform';
+import { Backoff } from '@dotterelpass/store';
+import type { ListedInstance, PlatformClient } from '@dotterelpass/store';
 import type { Log } from '@dotterelpass/telemetry';
 import { systemRandom } from '@dotterelpass/values';
 import type { InstanceId } from '@dotterelpass/values';
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { PlatformClient, RateBudget } from '@dotterelpass/platform';
+import { PlatformClient, RateBudget } from '@dotterelpass/store';
 import { PeerHub, minPeerKeyLength } from '@dotterelpass/peers';
 import { CallerServer } from '@dotterelpass/proxy';
 import { requireSettings, settingSchemas } from '@dotterelpass/settings';
--- a/packages/entry/src/probes.ts
+++ b/packages/entry/src/probes.ts
@@ -1,6 +1,6 @@
 import { request } from 'node:http';
 import { ProbeBudget } from '@dotterelpass/measuring';
-import type { PlatformClient } from '@dotterelpass/platform';
+import type { PlatformClient } from '@dotterelpass/store';
 import type { Metrics } from '@dotterelpass/telemetry';
 import type { Clock, EndpointSpec, InstanceId, Service, ServiceId } from '@dotterelpass/values';
 import { readReport } from './report.js';
--- a/packages/entry/test/fakes.ts
+++ b/packages/entry/test/fakes.ts
@@ -1,4 +1,4 @@
-import type { PlatformClient, PlatformError, Reading } from '@dotterelpass/platform';
+import type { PlatformClient, PlatformError, Reading } from '@dotterelpass/store';
 import type { Random } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
--- a/packages/entry/test/listing.test.ts
+++ b/packages/entry/test/listing.test.ts
@@ -1,4 +1,4 @@
-import type { ListedInstance } from '@dotterelpass/platform';
+import type { ListedInstance } from '@dotterelpass/store';
 import type { Log } from '@dotterelpass/telemetry';
 import type { InstanceId } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
--- /dev/null
+++ b/packages/gateway/src/answer.ts
@@ -0,0 +1,53 @@
+import type { IncomingMessage } from 'node:http';
+
+/** Answers up to this size are read whole before the caller gets the first byte. */
+export const wholeBytes = 1024 * 1024;
+
+/** What has come of reading the body of an answer. */
+export type BodyReading =
+  | { readonly kind: 'whole'; readonly bytes: Buffer }
+  /** Larger than what is read ahead: it is streamed. */
+  | { readonly kind: 'large' }
+  | { readonly kind: 'cut'; readonly message: string };
+
+/**
+ * Reads the body of an answer, so that the caller gets either all of it or none.
+ *
+ * @param answer - The answer, whose body has not been touched.
+ * @param timeoutMs - Time for the whole body, in milliseconds.
+ * @returns The body, or why there is none. The connection is given back or closed.
+ */
+export async function readAnswer(answer: IncomingMessage, timeoutMs: number): Promise<BodyReading> {
+  if (Number(answer.headers['content-length'] ?? 0) > wholeBytes) return { kind: 'large' };
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const cut = (message: string) => {
+      clearTimeout(timer);
+      answer.destroy();
+      resolve({ kind: 'cut', message });
+    };
+    const timer = setTimeout(() => cut('the body did not come in time'), timeoutMs);
+    answer.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > wholeBytes) cut(`an answer without a length has more than ${wholeBytes} bytes`);
+      else chunks.push(chunk);
+    });
+    // Node counts an answer without a length as complete also when its connection is reset; the
+    // error of the request comes first and tells the two apart.
+    requestOf(answer).once('error', (error) => cut(error.message));
+    answer.on('error', (error) => cut(error.message));
+    answer.on('end', () => {
+      if (!answer.complete) return;
+      clearTimeout(timer);
+      resolve({ kind: 'whole', bytes: Buffer.concat(chunks) });
+    });
+    answer.on('close', () => {
+      if (!answer.complete) cut('the connection ended within the body');
+    });
+  });
+}
+
+function requestOf(answer: IncomingMessage): NodeJS.EventEmitter {
+  return (answer as IncomingMessage & { req: NodeJS.EventEmitter }).req;
+}
--- /dev/null
+++ b/packages/gateway/src/attempts.ts
@@ -0,0 +1,348 @@
+import type { IncomingMessage } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Departure, copyEndToEnd } from '@dotterelpass/proxy';
+import type { AttemptFailure, Body, IncomingCall } from '@dotterelpass/proxy';
+import type { RetryBudget } from '@dotterelpass/retries';
+import type { Metrics } from '@dotterelpass/telemetry';
+import type { ClassName, EndpointId, RequestId, ServiceId, Verdict } from '@dotterelpass/values';
+import { match } from 'ts-pattern';
+import { readAnswer } from './answer.js';
+import type { Route } from './catalog.js';
+import type { Dialect } from './dialect.js';
+import type { AttemptEnding, Endpoint } from './endpoint.js';
+import type { Pick, Picker } from './picker.js';
+import type { WorkTimes } from './worktimes.js';
+
+/** A call on its way. */
+export interface Call {
+  readonly incoming: IncomingCall;
+  /** The caller's own id of the call, which answers repeat. */
+  readonly id: RequestId | undefined;
+  readonly method: string;
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly className: ClassName;
+  readonly body: Body;
+  /** Monotonic time at which the caller must have its answer, in milliseconds. */
+  readonly deadlineAt: number;
+  /** SHA-256 of method, path, query and body. */
+  readonly fingerprint: string;
+}
+
+/** One attempt, for the log. */
+export interface AttemptRecord {
+  readonly endpoint: EndpointId;
+  readonly expectedMs: number;
+  readonly reportAgeMs: number;
+  readonly load: number;
+  outcome: string;
+  ms: number;
+}
+
+/** How the attempts of a call ended. */
+export type CallEnd =
+  | {
+      readonly kind: 'answer';
+      readonly answer: IncomingMessage;
+      /** Undefined when the body is too large to be read ahead. */
+      readonly bytes: Buffer | undefined;
+      readonly isSuccess: boolean;
+      release(ending: AttemptEnding): void;
+    }
+  | {
+      readonly kind: 'failed';
+      readonly verdict: Verdict;
+      readonly reason: 'no-endpoint' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
+      readonly message: string;
+    };
+
+type Failed = Extract<CallEnd, { kind: 'failed' }>;
+
+/** Attempts that never reached an endpoint and so do not count for the route's limit. */
+const maxUnreached = 4;
+
+/** Time that must be left for another attempt, as a share of the work's usual time. */
+const minLeftShare = 0.8;
+
+/** Time after which an idempotent call is sent to a second endpoint, in shares. */
+const hedgeExpectedFactor = 2.5;
+const hedgeTargetShare = 0.5;
+
+export interface AttemptsOptions {
+  readonly dialect: Dialect;
+  readonly picker: Picker;
+  readonly work: WorkTimes;
+  readonly budget: RetryBudget;
+  readonly metrics: Metrics;
+  /** Called when a connection broke while an endpoint ran a call. */
+  onReset(call: Call, endpoint: Endpoint): void;
+}
+
+/** Sends calls to endpoints, again where that is safe. */
+export class Attempts {
+  readonly #options: AttemptsOptions;
+
+  constructor(options: AttemptsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Sends a call until it is answered or may not be sent again.
+   *
+   * @param call - The call.
+   * @param records - Takes a record of each attempt.
+   */
+  async run(call: Call, records: AttemptRecord[]): Promise<CallEnd> {
+    const { budget } = this.#options;
+    budget.recordCall([call.service]);
+    let worst: Verdict = 'not-run';
+    let sent = 0;
+    let unreached = 0;
+    let last: Failed = { kind: 'failed', verdict: 'not-run', reason: 'no-endpoint', message: '' };
+    while (sent < call.route.maxAttempts && unreached <= maxUnreached) {
+      if (call.incoming.gone.aborted) return { ...toCancelled(), verdict: worst };
+      if (sent > 0 && !this.#mayRetry(call, worst)) return { ...last, verdict: worst };
+      const pick = await this.#pick(call, records);
+      if (!pick) {
+        if (sent > 0) return { ...last, verdict: worst };
+        const message = `service ${call.service} has no endpoint that can be reached`;
+        return { kind: 'failed', verdict: 'not-run', reason: 'no-endpoint', message };
+      }
+      if (call.incoming.gone.aborted) return { ...toCancelled(), verdict: worst };
+      if (sent > 0) this.#recordExtra(call, 'retry');
+      const end = await this.#sendHedged(call, pick, records, () => {
+        sent += 1;
+      });
+      if (end.kind === 'answer' && !this.#wantsRetry(call, end, sent)) return end;
+      if (end.kind === 'answer') {
+        if (!this.#mayRetry(call, 'ran')) return end;
+        end.release('failed');
+        worst = 'ran';
+        sent += 1;
+        last = { kind: 'failed', verdict: 'ran', reason: 'invalid', message: 'failed answer' };
+        continue;
+      }
+      if (end.reason === 'no-endpoint') unreached += 1;
+      else sent += 1;
+      worst = toWorse(worst, end.verdict);
+      last = end;
+    }
+    return { ...last, verdict: worst };
+  }
+
+  async #pick(call: Call, records: readonly AttemptRecord[]): Promise<Pick | undefined> {
+    return this.#options.picker.pick({
+      service: call.service,
+      className: call.className,
+      targetLatencyMs: call.route.targetLatencyMs,
+      tried: records.map(({ endpoint }) => endpoint),
+    });
+  }
+
+  /** A failed answer of an idempotent call is tried elsewhere; the last one is passed on. */
+  #wantsRetry({ route, body }: Call, end: CallEnd, sent: number): boolean {
+    if (end.kind !== 'answer' || end.isSuccess || route.repeat !== 'idempotent') return false;
+    const status = end.answer.statusCode ?? 0;
+    return status >= 500 && body.kind !== 'stream' && sent + 1 < route.maxAttempts;
+  }
+
+  #mayRetry(call: Call, verdict: Verdict): boolean {
+    const { budget, work } = this.#options;
+    if (verdict !== 'not-run' && call.route.repeat !== 'idempotent') return false;
+    if (call.body.kind === 'stream') return false;
+    const leftMs = call.deadlineAt - performance.now();
+    if (leftMs < minLeftShare * work.findMs(call.className)) return false;
+    return budget.hasRoom([call.service]);
+  }
+
+  #recordExtra(call: Call, event: 'retry' | 'hedge'): void {
+    this.#options.budget.recordExtra([call.service]);
+    this.#options.metrics.recordEvent(event, call.service);
+  }
+
+  /** Sends a call; an idempotent one that takes long goes to a second endpoint as well. */
+  async #sendHedged(
+    call: Call,
+    pick: Pick,
+    records: AttemptRecord[],
+    onHedge: () => void,
+  ): Promise<CallEnd> {
+    const { route, body, incoming } = call;
+    const canHedge =
+      route.repeat === 'idempotent' && body.kind !== 'stream' && route.maxAttempts > records.length + 1;
+    const cancelFirst = incoming.gone.makeChild();
+    const first = this.#send(call, pick, records, cancelFirst);
+    if (!canHedge) return first;
+    const afterMs = Math.max(
+      hedgeExpectedFactor * pick.expectedMs,
+      hedgeTargetShare * route.targetLatencyMs,
+    );
+    if (!(await isSlowerThan(first, afterMs)) || !this.#mayRetry(call, 'may-have-run')) return first;
+    const other = await this.#pick(call, records);
+    if (!other || incoming.gone.aborted) return first;
+    onHedge();
+    this.#recordExtra(call, 'hedge');
+    const cancelSecond = incoming.gone.makeChild();
+    const second = this.#send(call, other, records, cancelSecond);
+    return pickEnd({ end: first, cancel: cancelFirst }, { end: second, cancel: cancelSecond });
+  }
+
+  async #send(
+    call: Call,
+    { endpoint, expectedMs, reportAgeMs }: Pick,
+    records: AttemptRecord[],
+    departure: Departure,
+  ): Promise<CallEnd> {
+    const { dialect, work } = this.#options;
+    const startedAt = performance.now();
+    const { id } = endpoint.registration;
+    const record: AttemptRecord = {
+      endpoint: id,
+      expectedMs: Math.round(expectedMs),
+      reportAgeMs: Math.round(reportAgeMs),
+      load: endpoint.load,
+      outcome: 'sent',
+      ms: 0,
+    };
+    records.push(record);
+    endpoint.startCall();
+    const leftMs = Math.max(1, call.deadlineAt - startedAt);
+    const isOnce = call.route.repeat === 'once';
+    const sent = await endpoint.pool.send({
+      method: call.method,
+      path: call.incoming.target.pathAndQuery,
+      headers: [
+        ...copyEndToEnd(call.incoming.request.rawHeaders, dialect.replaced),
+        ...dialect.writeTerms(id, leftMs),
+      ],
+      body: call.body,
+      timeoutMs: leftMs,
+      // A `once` call that has been sent is left to finish.
+      departure: isOnce ? undefined : departure,
+    });
+    const finish = (outcome: string, ending: AttemptEnding) => {
+      record.outcome = outcome;
+      record.ms = Math.round(performance.now() - startedAt);
+      endpoint.endCall(ending);
+    };
+    if (sent.isErr()) return this.#toFailed(call, endpoint, sent.error, finish);
+    const answer = sent.value;
+    const { headers } = answer;
+    const head = { status: answer.statusCode ?? 0, headers };
+    const reading = dialect.readAnswer(head, call.id);
+    const report = dialect.readReport(headers);
+    if (reading.kind === 'invalid') {
+      answer.on('error', () => undefined);
+      answer.destroy();
+      finish('invalid', 'failed');
+      const { message } = reading;
+      return { kind: 'failed', verdict: 'may-have-run', reason: 'invalid', message };
+    }
+    const body = await readAnswer(answer, Math.max(1, call.deadlineAt - performance.now()));
+    if (reading.kind === 'not-run') {
+      if (body.kind === 'large') answer.destroy();
+      finish(reading.reason, 'shed');
+      if (report) endpoint.recordReport(report);
+      if (reading.reason === 'other-endpoint') endpoint.recordUnreachable();
+      const message = `endpoint ${id} did not run the call: ${reading.reason}`;
+      return { kind: 'failed', verdict: 'not-run', reason: 'shed', message };
+    }
+    if (body.kind === 'cut') {
+      const isCancelled = departure.aborted;
+      finish(isCancelled ? 'cancelled' : 'cut', isCancelled ? 'cancelled' : 'failed');
+      if (isCancelled) return { ...toCancelled(), verdict: 'may-have-run' };
+      const { message } = body;
+      const isLate = performance.now() >= call.deadlineAt;
+      const reason = isLate ? 'timeout' : 'reset';
+      return { kind: 'failed', verdict: 'may-have-run', reason, message };
+    }
+    const idle = readIdleTimeout(headers['keep-alive']);
+    if (idle !== undefined) endpoint.setIdleTimeout(idle);
+    const isFailed = head.status >= 500;
+    if (!isFailed) {
+      work.record(call.className, performance.now() - startedAt, endpoint.report?.slowdown ?? 1);
+    }
+    if (report) endpoint.recordReport(report, 1);
+    if (body.kind === 'large') {
+      const release = (ending: AttemptEnding) => finish('streamed', ending);
+      return { kind: 'answer', answer, bytes: undefined, isSuccess: reading.isSuccess, release };
+    }
+    finish(String(head.status), isFailed ? 'failed' : 'answered');
+    const { bytes } = body;
+    return { kind: 'answer', answer, bytes, isSuccess: reading.isSuccess, release: () => undefined };
+  }
+
+  #toFailed(
+    call: Call,
+    endpoint: Endpoint,
+    { kind, verdict, message }: AttemptFailure,
+    finish: (outcome: string, ending: AttemptEnding) => void,
+  ): Failed {
+    if (kind === 'cancelled') {
+      finish('cancelled', 'cancelled');
+      return { ...toCancelled(), verdict };
+    }
+    if (verdict === 'not-run') {
+      finish('unreachable', 'unreachable');
+      return { kind: 'failed', verdict, reason: 'no-endpoint', message };
+    }
+    finish(kind, kind === 'bad-body' ? 'cancelled' : 'failed');
+    if (kind === 'reset') this.#options.onReset(call, endpoint);
+    const reason = match(kind)
+      .with('timeout', () => 'timeout' as const)
+      .with('bad-answer', () => 'invalid' as const)
+      .otherwise(() => 'reset' as const);
+    return { kind: 'failed', verdict, reason, message };
+  }
+}
+
+interface Contestant {
+  readonly end: Promise<CallEnd>;
+  readonly cancel: Departure;
+}
+
+/** Takes the first good answer and cancels the other attempt; a failure waits for the other. */
+async function pickEnd(first: Contestant, second: Contestant): Promise<CallEnd> {
+  const winner = await Promise.race(
+    [first, second].map(async (contestant) => ({ contestant, end: await contestant.end })),
+  );
+  const other = winner.contestant === first ? second : first;
+  if (winner.end.kind === 'answer' && winner.end.isSuccess) {
+    other.cancel.cancel();
+    void other.end.then((end) => {
+      if (end.kind === 'answer') end.release('cancelled');
+    });
+    return winner.end;
+  }
+  const rest = await other.end;
+  if (rest.kind === 'answer') {
+    if (winner.end.kind === 'answer') winner.end.release('failed');
+    return rest;
+  }
+  if (winner.end.kind === 'answer') return winner.end;
+  return { ...rest, verdict: toWorse(winner.end.verdict, rest.verdict) };
+}
+
+async function isSlowerThan(end: Promise<unknown>, ms: number): Promise<boolean> {
+  const timer = new AbortController();
+  const waited = sleep(ms, true, { signal: timer.signal }).catch(() => true);
+  const isSlow = await Promise.race([end.then(() => false), waited]);
+  timer.abort();
+  return isSlow;
+}
+
+function toCancelled(): Failed {
+  return { kind: 'failed', verdict: 'may-have-run', reason: 'cancelled', message: 'caller left' };
+}
+
+/** A call is `not-run` only when each of its attempts was. */
+function toWorse(a: Verdict, b: Verdict): Verdict {
+  if (a === 'not-run') return b;
+  return b === 'not-run' ? a : 'may-have-run';
+}
+
+/** @returns The idle timeout that a `Keep-Alive` header states, in milliseconds. */
+function readIdleTimeout(header: string | string[] | undefined): number | undefined {
+  const seconds = /(?:^|[\s,;])timeout=(\d{1,6})/i.exec(String(header ?? ''))?.[1];
+  return seconds === undefined ? undefined : Number(seconds) * 1000;
+}
--- /dev/null
+++ b/packages/gateway/src/crashes.ts
@@ -0,0 +1,67 @@
+import { SuspectTable } from '@dotterelpass/suspects';
+import type { Log } from '@dotterelpass/telemetry';
+import type { Clock } from '@dotterelpass/values';
+
+/** Crashes of endpoints under one request that ban it, counted over all instances. */
+const crashesToBan = 2;
+
+/** Crashes are forgotten after this time, in milliseconds. */
+const forgetMs = 60_000;
+
+const maxCounted = 1024;
+
+interface Count {
+  readonly crashes: number;
+  readonly at: number;
+}
+
+/**
+ * Requests under which endpoints crashed. An endpoint that crashes for another reason counts
+ * against the calls that it ran, so one crash bans none of them.
+ */
+export class CrashTable {
+  readonly #clock: Clock;
+
+  readonly #log: Log;
+
+  readonly #bans: SuspectTable;
+
+  readonly #counts = new Map<string, Count>();
+
+  constructor(clock: Clock, log: Log) {
+    this.#clock = clock;
+    this.#log = log;
+    this.#bans = new SuspectTable(clock);
+  }
+
+  isBanned(fingerprint: string): boolean {
+    return this.#bans.find(fingerprint) === 'banned';
+  }
+
+  /**
+   * Records that an endpoint crashed while it ran a request.
+   *
+   * @param fingerprint - The request.
+   * @param crashes - Endpoints that crashed; more than one when another instance tells its count.
+   * @returns Crashes so far.
+   */
+  record(fingerprint: string, crashes = 1): number {
+    const now = this.#clock.now();
+    const known = this.#counts.get(fingerprint);
+    const before = known && now - known.at < forgetMs ? known.crashes : 0;
+    const count = before + crashes;
+    this.#counts.delete(fingerprint);
+    this.#counts.set(fingerprint, { crashes: count, at: now });
+    const [oldest] = this.#counts.keys();
+    if (this.#counts.size > maxCounted && oldest !== undefined) this.#counts.delete(oldest);
+    if (count >= crashesToBan && !this.isBanned(fingerprint)) this.ban(fingerprint, 'local');
+    return count;
+  }
+
+  /** @param source - Where the ban was decided. */
+  ban(fingerprint: string, source: 'local' | 'fleet'): void {
+    if (this.isBanned(fingerprint)) return;
+    this.#bans.ban(fingerprint);
+    this.#log.warn('request-banned', { fingerprint, source });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/instance.ts
@@ -0,0 +1,170 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Store } from '@dotterelpass/store';
+import { countDroppedLines } from '@dotterelpass/telemetry';
+import type { Log, Metrics } from '@dotterelpass/telemetry';
+import type { Clock, FailureDomain, Incarnation, InstanceId, Random } from '@dotterelpass/values';
+import type { Dialect } from './dialect.js';
+import { Feed } from './feed.js';
+import type { Schema } from './feed.js';
+import { Fleet } from './fleet.js';
+import { Gateway } from './gateway.js';
+import type { FleetLimits } from './gateway.js';
+import { Relay } from './relay.js';
+
+/** What one instance is made of. */
+export interface InstanceOptions {
+  readonly instance: InstanceId;
+  readonly incarnation: Incarnation;
+  readonly failureDomain: FailureDomain;
+  readonly ip: string;
+  /** IP addresses and ports. */
+  readonly callerAddress: string;
+  readonly readinessAddress: string;
+  readonly peerPort: number;
+  /** Time between the order to stop and the end, in milliseconds. */
+  readonly graceMs: number;
+  readonly limits: FleetLimits;
+  readonly store: Store;
+  readonly schema: Schema;
+  readonly dialect: Dialect;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+/** Instances that share the limits until the store tells how many there are. */
+const expectedInstances = 8;
+
+/** Part of the grace period in which connections are still accepted after the order to stop. */
+const acceptShare = 0.6;
+
+/** Part of the grace period after which calls in flight are cut. */
+const cutShare = 0.92;
+
+const metricsPath = '/metrics';
+
+/** One instance: callers, readiness and metrics, and what it knows. */
+export class Instance {
+  readonly #options: InstanceOptions;
+
+  readonly #gateway: Gateway;
+
+  readonly #feed: Feed;
+
+  readonly #fleet: Fleet;
+
+  readonly #relay: Relay;
+
+  readonly #readiness: Server;
+
+  #stopping = false;
+
+  #wasReady = false;
+
+  constructor(options: InstanceOptions) {
+    this.#options = options;
+    const { instance, incarnation, ip, peerPort, store, schema } = options;
+    const { clock, random, log, metrics } = options;
+    this.#gateway = new Gateway(
+      { ...options, onBan: (fingerprint) => void this.#fleet.writeBan(fingerprint) },
+      expectedInstances,
+    );
+    const gateway = this.#gateway;
+    this.#feed = new Feed({ store, schema, target: gateway, clock, random, log, metrics });
+    this.#relay = new Relay({
+      instance,
+      incarnation,
+      ip,
+      port: peerPort,
+      feed: this.#feed,
+      clock,
+      random,
+      log,
+    });
+    this.#fleet = new Fleet({
+      store,
+      instance,
+      peerAddress: `${ip}:${peerPort}`,
+      clock,
+      random,
+      log,
+      onSize: (size) => gateway.setFleetSize(size),
+      onBan: (fingerprint) => gateway.ban(fingerprint),
+      onPeers: (peerKey, addresses) => this.#relay.setPeers(peerKey, addresses),
+    });
+    this.#readiness = createServer((request, response) => {
+      if (request.url === metricsPath) {
+        void metrics.readText().then((text) => response.end(text));
+        return;
+      }
+      response.writeHead(this.isReady ? 200 : 503).end();
+    });
+    metrics.addGauge('calls_in_flight', 'Calls without an answer.', () => gateway.callers.active);
+    metrics.addGauge('configuration_version', 'Version in force.', () => gateway.version);
+    metrics.addGauge('endpoints', 'Registered endpoints.', () => gateway.endpoints);
+    metrics.addGauge(
+      'registrations_age_ms',
+      'Age of the list of endpoints.',
+      () => this.#feed.knowledge.listingAgeMs,
+    );
+    metrics.addGauge('log_lines_dropped', 'Log lines that nobody read.', countDroppedLines);
+  }
+
+  /** Whether new callers may come. */
+  get isReady(): boolean {
+    const isReady = !this.#stopping && this.#gateway.version >= 0 && this.#feed.isListed;
+    if (isReady !== this.#wasReady) {
+      this.#wasReady = isReady;
+      this.#options.log.info('readiness', { isReady, configVersion: this.#gateway.version });
+    }
+    return isReady;
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    const { callerAddress, readinessAddress, instance, incarnation, log } = this.#options;
+    this.#feed.run();
+    void this.#fleet.run();
+    void this.#relay.run();
+    const [ip, port] = split(callerAddress);
+    await this.#gateway.callers.open(ip, port);
+    await new Promise<void>((resolve, reject) => {
+      const [readinessIp, readinessPort] = split(readinessAddress);
+      this.#readiness.once('error', reject);
+      this.#readiness.listen(readinessPort, readinessIp, resolve);
+    });
+    log.info('started', { instance, incarnation, callerAddress, readinessAddress });
+  }
+
+  /** @param limits - Limits of the fleet from now on. */
+  setLimits(limits: FleetLimits): void {
+    this.#gateway.setLimits(limits);
+  }
+
+  /** Stops without cutting a call: callers are sent elsewhere before connections close. */
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    const { graceMs, log, store } = this.#options;
+    const { callers } = this.#gateway;
+    log.info('stopping', { active: callers.active, graceMs });
+    callers.startDraining();
+    await sleep(graceMs * acceptShare);
+    await callers.close(graceMs * (cutShare - acceptShare));
+    this.#feed.stop();
+    this.#fleet.stop();
+    this.#relay.stop();
+    this.#gateway.close();
+    store.close();
+    this.#readiness.close();
+    log.info('stopped');
+  }
+}
+
+function split(address: string): [string, number] {
+  const [ip = '', port = ''] = address.split(':');
+  return [ip, Number(port)];
+}
--- /dev/null
+++ b/packages/gateway/src/picker.ts
@@ -0,0 +1,176 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { ClassName, EndpointId, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
+import type { Endpoint } from './endpoint.js';
+import type { WorkTimes } from './worktimes.js';
+
+/** Age up to which a load report is used without asking again, in milliseconds. */
+const freshMs = 20;
+
+/** Endpoints of one group that are asked for one call. */
+const probeWidth = 4;
+
+/** Time for which slower endpoints are waited for once one has answered, in milliseconds. */
+const graceMs = 8;
+
+/**
+ * Share of the target latency within which an endpoint in the same failure domain is taken
+ * without asking those in others: bytes between failure domains cost money.
+ */
+const nearShare = 0.6;
+
+/** An endpoint elsewhere must be this much faster than the best one near. */
+const farGain = 0.75;
+
+/** Share of the slots from which calls on an endpoint slow each other down. */
+const busyShare = 0.8;
+
+/** How much longer a call takes on an endpoint that is busy. */
+const busyFactor = 1.6;
+
+/** How much longer a call takes on an endpoint that has just started. */
+const coldFactor = 2;
+
+/** Factor on the expected time for each recent failure, and for each recent refusal. */
+const failureFactor = 2.5;
+const shedFactor = 1.5;
+
+/** Factor on the expected time of an endpoint whose liveness check fails. */
+const unhealthyFactor = 3;
+
+/** What a call needs of an endpoint. */
+export interface Need {
+  readonly service: ServiceId;
+  readonly className: ClassName;
+  readonly targetLatencyMs: number;
+  /** Endpoints that the call has been on. */
+  readonly tried: readonly EndpointId[];
+}
+
+/** A choice with what decided it. */
+export interface Pick {
+  readonly endpoint: Endpoint;
+  readonly expectedMs: number;
+  /** Age of the load report that was used, in milliseconds; infinite when there is none. */
+  readonly reportAgeMs: number;
+}
+
+export interface PickerOptions {
+  readonly failureDomain: FailureDomain;
+  readonly random: Random;
+  readonly work: WorkTimes;
+  list(service: ServiceId): readonly Endpoint[];
+  probe(endpoint: Endpoint): Promise<boolean>;
+}
+
+/**
+ * Chooses the endpoint of a call by load reports that are asked for at the moment of the choice:
+ * the load of endpoints shifts faster than reports could be kept up to date.
+ */
+export class Picker {
+  readonly #options: PickerOptions;
+
+  constructor(options: PickerOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Picks an endpoint.
+   *
+   * @param need - The call.
+   * @returns Undefined when the service has no endpoint left to try.
+   */
+  async pick(need: Need): Promise<Pick | undefined> {
+    const { failureDomain, list } = this.#options;
+    const open = list(need.service).filter(
+      ({ registration: { id } }) => !need.tried.includes(id),
+    );
+    const reachable = open.filter(({ isReachable }) => isReachable);
+    const usable = reachable.length > 0 ? reachable : open;
+    const near = usable.filter(({ registration }) => registration.failureDomain === failureDomain);
+    const bestNear = await this.#pickOf(near, need);
+    if (bestNear && bestNear.expectedMs <= nearShare * need.targetLatencyMs) return bestNear;
+    const far = usable.filter(({ registration }) => registration.failureDomain !== failureDomain);
+    const bestFar = await this.#pickOf(far, need);
+    if (!bestNear) return bestFar ?? this.#pickAny(usable, need);
+    if (bestFar && bestFar.expectedMs < farGain * bestNear.expectedMs) return bestFar;
+    return bestNear;
+  }
+
+  /** Asks some of a group and takes the best that answered. */
+  async #pickOf(group: readonly Endpoint[], need: Need): Promise<Pick | undefined> {
+    if (group.length === 0) return undefined;
+    const asked = this.#sample(group, need.className);
+    const stale = asked.filter(({ reportAgeMs }) => reportAgeMs > freshMs);
+    await waitForSome(stale.map((endpoint) => this.#options.probe(endpoint)));
+    return this.#findBest(
+      asked.filter(({ isReachable }) => isReachable),
+      need.className,
+    );
+  }
+
+  #pickAny(group: readonly Endpoint[], need: Need): Pick | undefined {
+    return this.#findBest(
+      group.filter(({ isReachable }) => isReachable),
+      need.className,
+    );
+  }
+
+  /** Takes a random part of a large group and the best by what is known. */
+  #sample(group: readonly Endpoint[], className: ClassName): readonly Endpoint[] {
+    if (group.length <= probeWidth) return group;
+    const ranked = group
+      .map((endpoint) => ({
+        endpoint,
+        rank: this.#findExpectedMs(endpoint, className) * (0.5 + this.#options.random.next()),
+      }))
+      .sort((a, b) => a.rank - b.rank);
+    return ranked.slice(0, probeWidth).map(({ endpoint }) => endpoint);
+  }
+
+  #findBest(group: readonly Endpoint[], className: ClassName): Pick | undefined {
+    let best: Pick | undefined;
+    let bestLoad = Infinity;
+    group.forEach((endpoint) => {
+      const expectedMs = this.#findExpectedMs(endpoint, className);
+      const { load } = endpoint;
+      const isBetter =
+        !best ||
+        expectedMs < best.expectedMs ||
+        (expectedMs === best.expectedMs &&
+          (load < bestLoad || (load === bestLoad && this.#options.random.next() < 0.5)));
+      if (!isBetter) return;
+      best = { endpoint, expectedMs, reportAgeMs: endpoint.reportAgeMs };
+      bestLoad = load;
+    });
+    return best;
+  }
+
+  #findExpectedMs(endpoint: Endpoint, className: ClassName): number {
+    const { registration, report, load, isWarm, isHealthy } = endpoint;
+    const slots = Math.max(1, registration.slots);
+    const workMs = this.#options.work.findMs(className);
+    const isBusy = load + 1 >= busyShare * slots;
+    const waits = Math.max(0, load + 1 - slots) / slots;
+    const penalty =
+      failureFactor ** endpoint.failureScore *
+      shedFactor ** endpoint.shedScore *
+      (isHealthy ? 1 : unhealthyFactor) *
+      (isWarm ? 1 : coldFactor);
+    return workMs * (report?.slowdown ?? 1) * (isBusy ? busyFactor : 1) * (1 + waits) * penalty;
+  }
+}
+
+/** Waits until all have answered, or until one has and the others had some time more. */
+async function waitForSome(probes: readonly Promise<boolean>[]): Promise<void> {
+  if (probes.length === 0) return;
+  const all = Promise.all(probes);
+  const timer = new AbortController();
+  const grace = sleep(graceMs, undefined, { signal: timer.signal }).catch(() => undefined);
+  const any = Promise.any(
+    probes.map(async (probe) => {
+      if (!(await probe)) throw new Error('the endpoint did not answer');
+    }),
+  ).catch(() => undefined);
+  await Promise.race([all, Promise.all([grace, any])]);
+  timer.abort();
+}
--- /dev/null
+++ b/packages/gateway/src/prober.ts
@@ -0,0 +1,111 @@
+import { request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import type { Metrics } from '@dotterelpass/telemetry';
+import type { EndpointId, ServiceId } from '@dotterelpass/values';
+import type { Dialect, HealthReading } from './dialect.js';
+import type { Endpoint } from './endpoint.js';
+
+/** Time for the answer to a probe; endpoints answer it at once, whatever their load. */
+const probeTimeoutMs = 100;
+
+export interface ProberOptions {
+  readonly dialect: Dialect;
+  readonly metrics: Metrics;
+  /** Probes a second that this instance may send to one endpoint. */
+  readonly perSecond: () => number;
+  findHealthPath(service: ServiceId): string | undefined;
+}
+
+/** Asks endpoints for their load, on the connections that calls use afterwards. */
+export class Prober {
+  readonly #options: ProberOptions;
+
+  readonly #running = new Map<EndpointId, Promise<boolean>>();
+
+  /** Earliest time of the next probe of an endpoint, monotonic milliseconds. */
+  readonly #notBefore = new Map<EndpointId, number>();
+
+  constructor(options: ProberOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Asks an endpoint for its load. Calls that ask at the same time share one probe.
+   *
+   * @param endpoint - The endpoint, which takes the report.
+   * @returns Whether the endpoint can take calls, as far as the probe tells; true when the budget
+   * allows no probe now.
+   */
+  async probe(endpoint: Endpoint): Promise<boolean> {
+    const { id } = endpoint.registration;
+    const running = this.#running.get(id);
+    if (running) return running;
+    const now = performance.now();
+    if (now < (this.#notBefore.get(id) ?? 0)) return endpoint.isReachable;
+    this.#notBefore.set(id, now + 1000 / this.#options.perSecond());
+    const probe = this.#ask(endpoint).finally(() => this.#running.delete(id));
+    this.#running.set(id, probe);
+    return probe;
+  }
+
+  /** Forgets endpoints that are registered no more. */
+  retain(isKnown: (id: EndpointId) => boolean): void {
+    [...this.#notBefore.keys()].filter((id) => !isKnown(id)).forEach((id) => {
+      this.#notBefore.delete(id);
+    });
+  }
+
+  async #ask(endpoint: Endpoint): Promise<boolean> {
+    const { dialect, metrics } = this.#options;
+    const { id, service, address } = endpoint.registration;
+    const path = this.#options.findHealthPath(service);
+    if (path === undefined) return true;
+    const answer = await sendProbe(endpoint, address, path);
+    if (answer === undefined) {
+      metrics.recordEvent('probe-unanswered', service);
+      endpoint.recordUnreachable();
+      return false;
+    }
+    const reading: HealthReading = dialect.readHealth({
+      status: answer.statusCode ?? 0,
+      headers: answer.headers,
+    });
+    if (reading.id !== undefined && reading.id !== id) {
+      metrics.recordEvent('probe-other-endpoint', service);
+      endpoint.recordUnreachable();
+      return false;
+    }
+    metrics.recordEvent('probe', service);
+    if (reading.report) endpoint.recordReport(reading.report);
+    endpoint.setHealthy(reading.isHealthy);
+    return true;
+  }
+}
+
+async function sendProbe(
+  endpoint: Endpoint,
+  address: string,
+  path: string,
+): Promise<IncomingMessage | undefined> {
+  const [host = '', port = ''] = address.split(':');
+  return new Promise((resolve) => {
+    const outgoing = request({ agent: endpoint.pool.agent, host, port: Number(port), path });
+    const timer = setTimeout(() => {
+      outgoing.destroy();
+      endpoint.pool.dropWaiting(outgoing);
+    }, probeTimeoutMs);
+    const finish = (answer?: IncomingMessage) => {
+      clearTimeout(timer);
+      resolve(answer);
+    };
+    outgoing.on('response', (answer) => {
+      answer.resume();
+      answer.on('error', () => undefined);
+      answer.on('end', () => finish(answer));
+      answer.on('close', () => finish(answer.complete ? answer : undefined));
+    });
+    outgoing.on('error', () => finish());
+    outgoing.on('close', () => finish());
+    outgoing.end();
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/registry.ts
@@ -0,0 +1,108 @@
+import type { Log } from '@dotterelpass/telemetry';
+import type { Clock, EndpointId, ServiceId } from '@dotterelpass/values';
+import type { Registration } from './catalog.js';
+import { Endpoint } from './endpoint.js';
+
+/** Connections kept to an endpoint whose service is not configured yet. */
+const fallbackConnections = 8;
+
+export interface RegistryOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Connections to one endpoint of a service that this instance may have. */
+  countConnections(service: ServiceId): number | undefined;
+}
+
+/** The endpoints that are registered, by service. */
+export class Registry {
+  readonly #options: RegistryOptions;
+
+  readonly #endpoints = new Map<EndpointId, Endpoint>();
+
+  /** Endpoints that may take calls. */
+  #services = new Map<ServiceId, readonly Endpoint[]>();
+
+  constructor(options: RegistryOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#endpoints.size;
+  }
+
+  /** @returns The endpoints of a service that are registered and not leaving. */
+  list(service: ServiceId): readonly Endpoint[] {
+    return this.#services.get(service) ?? [];
+  }
+
+  find(id: EndpointId): Endpoint | undefined {
+    return this.#endpoints.get(id);
+  }
+
+  /**
+   * Takes the list of registered endpoints in place of the one before.
+   *
+   * @param registrations - The endpoints.
+   * @param keepMissing - Whether endpoints that are missing stay: registrations may have lapsed
+   * because the store was away.
+   */
+  apply(registrations: readonly Registration[], keepMissing: boolean): void {
+    const listed = new Map(registrations.map((entry) => [entry.id, entry]));
+    listed.forEach((entry) => this.#applyOne(entry));
+    if (!keepMissing) {
+      [...this.#endpoints.keys()]
+        .filter((id) => !listed.has(id))
+        .forEach((id) => this.#remove(id, 'missing'));
+    }
+    const services = new Map<ServiceId, Endpoint[]>();
+    this.#endpoints.forEach((endpoint) => {
+      const { service, state } = endpoint.registration;
+      if (state !== 'ready') return;
+      const list = services.get(service);
+      if (list) list.push(endpoint);
+      else services.set(service, [endpoint]);
+    });
+    this.#services = services;
+  }
+
+  close(): void {
+    this.#endpoints.forEach((endpoint) => endpoint.close());
+  }
+
+  #applyOne(entry: Registration): void {
+    const known = this.#endpoints.get(entry.id);
+    if (known && isSameProcess(known.registration, entry)) {
+      if (known.registration.state !== entry.state) {
+        const { id, service, state } = entry;
+        this.#options.log.info('endpoint-state', { endpoint: id, service, state });
+      }
+      known.setRegistration(entry);
+      return;
+    }
+    if (known) this.#remove(entry.id, 'restarted');
+    const connections = this.#options.countConnections(entry.service) ?? fallbackConnections;
+    const endpoint = new Endpoint(entry, connections, this.#options.clock);
+    this.#endpoints.set(entry.id, endpoint);
+    const { id, service, address, failureDomain, state } = entry;
+    this.#options.log.info('endpoint-added', {
+      endpoint: id,
+      service,
+      address,
+      failureDomain,
+      state,
+    });
+  }
+
+  #remove(id: EndpointId, reason: string): void {
+    const endpoint = this.#endpoints.get(id);
+    if (!endpoint) return;
+    this.#endpoints.delete(id);
+    this.#options.log.info('endpoint-removed', { endpoint: id, reason });
+    // Calls in flight end on their own connections.
+    endpoint.pool.retire();
+  }
+}
+
+function isSameProcess(a: Registration, b: Registration): boolean {
+  return a.address === b.address && a.startedAtMs === b.startedAtMs && a.service === b.service;
+}
--- /dev/null
+++ b/packages/gateway/src/routes.ts
@@ -0,0 +1,86 @@
+import type { ServiceId } from '@dotterelpass/values';
+import type { Catalog, Route, RouteName } from './catalog.js';
+
+/** Credit of each target of a split route; the target with the most is next. */
+type Credits = Map<ServiceId, number>;
+
+/** Finds the route of a call, and divides the calls of split routes by weight. */
+export class RouteTable {
+  #version = -1;
+
+  #hosts = new Map<string, readonly Route[]>();
+
+  /** Credits outlive a change of the configuration, so that frequent changes keep the shares. */
+  #credits = new Map<RouteName, Credits>();
+
+  /** Version of the configuration in force; -1 before the first. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /**
+   * Puts a configuration in force.
+   *
+   * @param catalog - The configuration.
+   * @returns Whether it is in force: an older one than the present is refused.
+   */
+  apply(catalog: Catalog): boolean {
+    if (catalog.version <= this.#version) return false;
+    const hosts = new Map<string, Route[]>();
+    catalog.routes.forEach((route) => {
+      const known = hosts.get(route.host);
+      if (known) known.push(route);
+      else hosts.set(route.host, [route]);
+    });
+    hosts.forEach((routes) => routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
+    const names = new Set(catalog.routes.map(({ name }) => name));
+    this.#credits = new Map([...this.#credits].filter(([name]) => names.has(name)));
+    this.#hosts = hosts;
+    this.#version = catalog.version;
+    return true;
+  }
+
+  /**
+   * Finds the route with the longest prefix that begins the path.
+   *
+   * @param host - Host in lower case, without port.
+   * @param path - Path without query.
+   */
+  find(host: string, path: string): Route | undefined {
+    return this.#hosts.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+  }
+
+  /**
+   * Picks the service of the next call of a route: smooth weighted round robin, whose shares hold
+   * over any short run of calls.
+   *
+   * @param route - The route.
+   * @returns Undefined when no target has a weight.
+   */
+  pickService(route: Route): ServiceId | undefined {
+    const { targets } = route;
+    if (targets.length === 1) return targets[0]?.service;
+    const credits = this.#findCredits(route.name);
+    const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+    let best: ServiceId | undefined;
+    let most = -Infinity;
+    targets.forEach(({ service, weight }) => {
+      const credit = (credits.get(service) ?? 0) + weight / total;
+      credits.set(service, credit);
+      if (weight > 0 && credit > most) {
+        most = credit;
+        best = service;
+      }
+    });
+    if (best !== undefined) credits.set(best, most - 1);
+    return best;
+  }
+
+  #findCredits(name: RouteName): Credits {
+    const known = this.#credits.get(name);
+    if (known) return known;
+    const credits: Credits = new Map();
+    this.#credits.set(name, credits);
+    return credits;
+  }
+}
--- a/packages/platform/src/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export * from './backoff.js';
-export * from './budget.js';
-export * from './client.js';
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -107,6 +107,11 @@
     while (this.size > maxConnections && this.#idle.length > 0) this.#dropOldest();
   }
 
+  /** @param idleMs - Time after which connections without a request are closed, from now on. */
+  setIdleMs(idleMs: number): void {
+    this.#limits = { ...this.#limits, idleMs };
+  }
+
   /** Called by Node's client for each request. */
   addRequest(request: AgentRequest, options: ConnectionOptions): void {
     const connection = this.#takeIdle(options.fresh === true);
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -129,6 +129,18 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /**
+   * Changes limits of connections and requests that come from now on.
+   *
+   * @param bounds - Limits in bytes and milliseconds.
+   */
+  setBounds(bounds: Pick<CallerLimits, 'headersTimeoutMs' | 'idleMs' | 'maxHeaderBytes'>): void {
+    this.#server.headersTimeout = bounds.headersTimeoutMs;
+    this.#server.keepAliveTimeout = bounds.idleMs;
+    // Read by Node for each new connection.
+    Object.assign(this.#server, { maxHeaderSize: bounds.maxHeaderBytes });
+  }
+
   /** From now on the last answer of each connection asks its caller to close it. */
   startDraining(): void {
     this.#draining = true;
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -1,5 +1,5 @@
 import { request } from 'node:http';
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -42,6 +42,11 @@
 /** Limits of a pool; all have defaults. */
 export interface PoolLimits extends ConnectionLimits, SilenceLimits {
   readonly connectMs: number;
+  /**
+   * Whether answers without a length are taken, whose end is that of their connection. Who reads
+   * them must tell an orderly end from a reset by the error of the request.
+   */
+  readonly readUnbounded: boolean;
   /**
    * Reads how many calls the endpoint has, on a new connection and within the budget for
    * measuring; undefined when it is not told. By default the endpoint is asked at any time.
@@ -55,6 +60,7 @@
   idleMs: 15_000,
   freshMs: 2000,
   connectMs: 1000,
+  readUnbounded: false,
   silenceMs: 1000,
   evidenceMs: 250,
 };
@@ -100,11 +106,32 @@
     return this.#agent.size;
   }
 
+  /** The connections, for requests that are no calls, such as liveness checks. */
+  get agent(): Agent {
+    return this.#agent;
+  }
+
+  /** @param outgoing - A request on `agent` that was destroyed, perhaps before it was sent. */
+  dropWaiting(outgoing: ClientRequest): void {
+    this.#agent.dropWaiting(outgoing);
+  }
+
   /** @param maxConnections - Most connections at once, from now on. */
   setMaxConnections(maxConnections: number): void {
     this.#agent.setMaxConnections(maxConnections);
   }
 
+  /** @param idleMs - Time after which connections without a request are closed, from now on. */
+  setIdleMs(idleMs: number): void {
+    this.#agent.setIdleMs(idleMs);
+  }
+
+  /** Closes the connections without a request now, and the others when theirs has ended. */
+  retire(): void {
+    this.#silence.close();
+    this.#agent.setMaxConnections(0);
+  }
+
   /**
    * Sends a request and waits for the headers of its answer.
    *
@@ -190,7 +217,7 @@
       });
       outgoing.on('information', ({ statusCode }) => attempt.onInformation?.(statusCode));
       outgoing.on('response', (answer) => {
-        if (isUnbounded(answer, attempt.method)) {
+        if (!this.#limits.readUnbounded && isUnbounded(answer, attempt.method)) {
           fail('bad-answer', 'the answer has neither a length nor chunks');
         } else finish(ok(answer));
       });
--- a/packages/retries/src/budget.ts
+++ b/packages/retries/src/budget.ts
@@ -4,6 +4,8 @@
 export interface BudgetLimits {
   /** Largest share of extra attempts in recent calls, 0 to 1. */
   readonly share: number;
+  /** Extra attempts in the window that are allowed whatever the number of calls; 0 by default. */
+  readonly allowance?: number;
   /** What counts as recent, in milliseconds. */
   readonly windowMs: number;
 }
@@ -15,13 +17,13 @@
 export const hedgeLimits: BudgetLimits = { share: 0.05, windowMs: 10_000 };
 
 /**
- * Bounds extra attempts by a share of recent calls, for several groups of calls at once. There
- * is no allowance beyond the share: after a quiet time the first calls are not retried.
+ * Bounds extra attempts by a share of recent calls, for several groups of calls at once. Without
+ * an allowance beyond the share, the first calls after a quiet time are not retried.
  */
 export class RetryBudget {
   readonly #clock: Clock;
 
-  readonly #limits: BudgetLimits;
+  #limits: BudgetLimits;
 
   readonly #windows = new Map<string, SharedWindow>();
 
@@ -37,6 +39,16 @@
     this.#limits = limits;
   }
 
+  /** @param share - Largest share of extra attempts, 0 to 1, from now on. */
+  setShare(share: number): void {
+    this.#limits = { ...this.#limits, share };
+  }
+
+  /** @param allowance - Extra attempts in the window beyond the share, from now on. */
+  setAllowance(allowance: number): void {
+    this.#limits = { ...this.#limits, allowance };
+  }
+
   /** @param groups - Every group that a new call belongs to, such as its tenant and service. */
   recordCall(groups: readonly string[]): void {
     for (const group of groups) this.#findWindow(group).addCall();
@@ -47,7 +59,7 @@
    * @returns Whether all of them have room for one more extra attempt.
    */
   hasRoom(groups: readonly string[]): boolean {
-    return groups.every((group) => this.#findWindow(group).hasRoom(this.#limits.share));
+    return groups.every((group) => this.#findWindow(group).hasRoom(this.#limits.share, this.#limits.allowance));
   }
 
   /** @param groups - Every group of a call that makes an extra attempt now. */
--- a/packages/retries/src/window.ts
+++ b/packages/retries/src/window.ts
@@ -45,11 +45,12 @@
 
   /**
    * @param share - Largest share of extra attempts in the calls of the window.
+   * @param allowance - Extra attempts that are allowed beyond the share.
    * @returns Whether one more extra attempt stays within the share.
    */
-  hasRoom(share: number): boolean {
+  hasRoom(share: number, allowance = 0): boolean {
     this.#advance();
-    return this.#extraSum + 1 <= this.#callSum * share;
+    return this.#extraSum + 1 <= this.#callSum * share + allowance;
   }
 
   #advance(): void {
--- a/packages/platform/src/client.ts
+++ b/packages/store/src/client.ts
@@ -1,15 +1,9 @@
-import { Agent, request } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { Metrics } from '@dotterelpass/telemetry';
-import type { FleetRates, RateBudget } from './budget.js';
+import { Transport, readJson, toStatusError } from './transport.js';
+import type { PlatformError, TransportOptions } from './transport.js';
 
-/** A failed platform call. `applied` says whether a write may have taken effect. */
-export interface PlatformError {
-  readonly kind: 'unreachable' | 'timeout' | 'rate-limited' | 'refused' | 'bad-answer';
-  readonly message: string;
-  readonly applied: 'no' | 'unknown';
-}
+export type { PlatformError } from './transport.js';
 
 /** One stored value. */
 export interface Entry {
@@ -53,56 +47,35 @@
   Checks: { Status: string }[];
 }
 
-const defaultTimeoutMs = 2000;
-
 /** A waiting watch is abandoned this long after the platform should have answered it. */
 const defaultGraceMs = 2000;
 
-/** A call that finds the budget spent waits this long at most. */
-const maxBudgetWaitMs = 500;
-
 /** Parts and limits of a client. */
-export interface PlatformOptions {
-  readonly budget?: RateBudget;
+export interface PlatformOptions extends TransportOptions {
   /** Writes to keys with this prefix have a limit of their own and do not draw on the budget. */
   readonly unbudgetedPrefix?: string;
-  readonly metrics?: Pick<Metrics, 'recordEvent'>;
-  /** Longest wait for the answer to a call that does not wait for a change, in milliseconds. */
-  readonly timeoutMs?: number;
   /** Time beyond its wait after which a watch is abandoned, in milliseconds. */
   readonly graceMs?: number;
 }
 
 /** Client of the platform's key-value service and instance list (Consul HTTP API). */
 export class PlatformClient {
-  readonly #host: string;
-
-  readonly #port: number;
-
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: 64, scheduling: 'lifo' });
+  readonly #transport: Transport;
 
   readonly #options: PlatformOptions;
 
-  readonly #timeoutMs: number;
-
-  #calls = 0;
-
   /**
    * @param address - IP address and port of the platform.
    * @param options - Parts and limits.
    */
   constructor(address: string, options: PlatformOptions = {}) {
     this.#options = options;
-    this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
-    const [host = '', port = ''] = address.split(':');
-    if (!host || !port) throw new RangeError(`platform address ${JSON.stringify(address)} is bad`);
-    this.#host = host;
-    this.#port = Number(port);
+    this.#transport = new Transport(address, options);
   }
 
   /** Calls made so far; a waiting watch counts as one. */
   get calls(): number {
-    return this.#calls;
+    return this.#transport.calls;
   }
 
   /**
@@ -133,7 +106,7 @@
     }
     const timeout = waiting
       ? (options.waitMs ?? 10_000) + (this.#options.graceMs ?? defaultGraceMs)
-      : this.#timeoutMs;
+      : this.#transport.timeoutMs;
     const answer = await this.#call('GET', `/v1/kv/${key}?${query.toString()}`, undefined, timeout);
     if (answer.isErr()) return err({ ...answer.error, applied: 'no' });
     const { status, index, body } = answer.value;
@@ -184,7 +157,7 @@
    */
   async openSession(ttlMs: number): Promise<Result<string, PlatformError>> {
     const body = Buffer.from(JSON.stringify({ TTL: `${ttlMs}ms`, Behavior: 'release' }));
-    const answer = await this.#call('PUT', '/v1/session/create', body, this.#timeoutMs);
+    const answer = await this.#call('PUT', '/v1/session/create', body);
     if (answer.isErr()) return err(answer.error);
     if (answer.value.status !== 200) {
       return err(toStatusError(answer.value.status, answer.value.body));
@@ -200,7 +173,7 @@
    */
   async renewSession(session: string): Promise<Result<boolean, PlatformError>> {
     const path = `/v1/session/renew/${session}`;
-    const answer = await this.#call('PUT', path, undefined, this.#timeoutMs);
+    const answer = await this.#call('PUT', path, undefined);
     if (answer.isErr()) return err(answer.error);
     const { status, body } = answer.value;
     if (status === 200) return ok(true);
@@ -242,7 +215,7 @@
    */
   async readInstances(kind: string): Promise<Result<readonly ListedInstance[], PlatformError>> {
     const path = `/v1/health/service/${kind}`;
-    const answer = await this.#call('GET', path, undefined, this.#timeoutMs);
+    const answer = await this.#call('GET', path, undefined);
     if (answer.isErr()) return err({ ...answer.error, applied: 'no' });
     if (answer.value.status !== 200) {
       return err(toStatusError(answer.value.status, answer.value.body));
@@ -290,11 +263,11 @@
 
   /** Closes idle connections. */
   close(): void {
-    this.#agent.destroy();
+    this.#transport.close();
   }
 
   async #register(path: string, body: Buffer | undefined): Promise<Result<void, PlatformError>> {
-    const answer = await this.#call('PUT', path, body, this.#timeoutMs);
+    const answer = await this.#call('PUT', path, body);
     if (answer.isErr()) return err(answer.error);
     const { status } = answer.value;
     return status === 200 ? ok(undefined) : err(toStatusError(status, answer.value.body));
@@ -305,7 +278,7 @@
     path: string,
     value: Buffer,
   ): Promise<Result<boolean, PlatformError>> {
-    const answer = await this.#call(method, path, value, this.#timeoutMs);
+    const answer = await this.#call(method, path, value);
     if (answer.isErr()) return err(answer.error);
     const { status, body } = answer.value;
     return status === 200
@@ -317,100 +290,17 @@
     method: string,
     path: string,
     body: Buffer | undefined,
-    timeoutMs: number,
+    timeoutMs = this.#transport.timeoutMs,
   ): Promise<Result<Answer, PlatformError>> {
     const { unbudgetedPrefix: prefix } = this.#options;
-    const budgeted = method === 'GET' || !prefix || !path.startsWith(`/v1/kv/${prefix}`);
-    const spent = budgeted && (await this.#waitForBudget(method === 'GET' ? 'reads' : 'writes'));
-    if (spent) return err(spent);
-    this.#calls += 1;
-    const answer = await this.#send(method, path, body, timeoutMs);
-    const outcome = answer.isOk() ? 'answered' : answer.error.kind;
-    this.#options.metrics?.recordEvent(`platform-${outcome}`);
-    return answer;
-  }
-
-  async #waitForBudget(kind: keyof FleetRates): Promise<PlatformError | undefined> {
-    const { budget, metrics } = this.#options;
-    let waitedMs = 0;
-    for (let waitMs = budget?.acquire(kind) ?? 0; waitMs > 0; waitMs = budget?.acquire(kind) ?? 0) {
-      waitedMs += waitMs;
-      if (waitedMs > maxBudgetWaitMs) {
-        metrics?.recordEvent('platform-budget-spent');
-        const message = `this instance has used its share of ${kind}`;
-        return { kind: 'rate-limited', message, applied: 'no' };
-      }
-      await sleep(waitMs);
-    }
-    return undefined;
-  }
-
-  async #send(
-    method: string,
-    path: string,
-    body: Buffer | undefined,
-    timeoutMs: number,
-  ): Promise<Result<Answer, PlatformError>> {
-    return new Promise((resolve) => {
-      const outgoing = request({
-        agent: this.#agent,
-        host: this.#host,
-        port: this.#port,
-        method,
-        path,
-        headers: body ? { 'content-length': body.length } : {},
-      });
-      const timer = setTimeout(() => {
-        // The connection may be silent for good, and so may those that idle; new ones may work.
-        outgoing.destroy();
-        Object.values(this.#agent.freeSockets).forEach((sockets) =>
-          sockets?.forEach((socket) => socket.destroy()),
-        );
-        resolve(
-          err({ kind: 'timeout', message: `no answer in ${timeoutMs} ms`, applied: 'unknown' }),
-        );
-      }, timeoutMs);
-      outgoing.on('error', (error: NodeJS.ErrnoException) => {
-        clearTimeout(timer);
-        const applied = error.code === 'ECONNREFUSED' ? 'no' : 'unknown';
-        resolve(err({ kind: 'unreachable', message: error.message, applied }));
-      });
-      outgoing.on('response', (response) => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        response.on('error', () => undefined);
-        response.on('close', () => {
-          clearTimeout(timer);
-          if (!response.complete) {
-            const message = 'the answer was cut short';
-            resolve(err({ kind: 'unreachable', message, applied: 'unknown' }));
-            return;
-          }
-          const index = Number(response.headers['x-consul-index'] ?? 0);
-          resolve(ok({ status: response.statusCode ?? 0, index, body: Buffer.concat(chunks) }));
-        });
-      });
-      outgoing.end(body);
-    });
-  }
-}
-
-async function sleep(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
-function toStatusError(status: number, body: Buffer): PlatformError {
-  const message = `status ${status}: ${body.toString().slice(0, 200)}`;
-  if (status === 429) return { kind: 'rate-limited', message, applied: 'no' };
-  return { kind: 'refused', message, applied: status >= 500 ? 'unknown' : 'no' };
-}
-
-function readJson<T>(body: Buffer): Result<T, PlatformError> {
-  try {
-    return ok(JSON.parse(body.toString()) as T);
-  } catch {
-    return err({ kind: 'bad-answer', message: 'the answer is not JSON', applied: 'unknown' });
+    const kind = method === 'GET' ? 'reads' : 'writes';
+    const isFree = kind === 'writes' && prefix && path.startsWith(`/v1/kv/${prefix}`);
+    const call = { method, path, body, timeoutMs, budget: isFree ? undefined : kind } as const;
+    const answer = await this.#transport.send(call);
+    return answer.map(({ status, headers, body: bytes }) => ({
+      status,
+      index: Number(headers['x-consul-index'] ?? 0),
+      body: bytes,
+    }));
   }
 }
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,11 +1,11 @@
-import { format } from 'node:util';
-import createDebug from 'debug';
+import { pino } from 'pino';
+import type { DestinationStream } from 'pino';
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
 export type LogFields = Readonly<Record<string, unknown>>;
 
-/** A logger for one part of a program. Each call writes one JSON line to standard error. */
+/** A logger for one part of a program. Each call writes one JSON line to standard output. */
 export interface Log {
   debug(event: string, fields?: LogFields): void;
   info(event: string, fields?: LogFields): void;
@@ -25,26 +25,81 @@
   'key',
 ]);
 
+/** Lines of one event that are written in one second; warnings and errors have twice as many. */
+const maxLinesPerSecond = 500;
+
+/** Bytes that wait while the reader of standard output is slow; further lines are dropped. */
+const maxBufferedBytes = 1024 * 1024;
+
+/** Longest time that a line waits for further ones, in milliseconds. */
+const flushMs = 200;
+
+/** Bytes that are written at once without waiting for further lines. */
+const minWriteBytes = 4096;
+
+const standardOutput = 1;
+
+let leastLevel = 0;
+
+let destination: DestinationStream | undefined;
+
+let droppedLines = 0;
+
 /**
  * Chooses which lines are written.
  *
  * @param level - The least severe level that is written.
  */
 export function setLogLevel(level: LogLevel): void {
-  const enabled = levels.slice(levels.indexOf(level)).map((name) => `dotterelpass:${name}:*`);
-  createDebug.enable(enabled.join(','));
+  leastLevel = levels.indexOf(level);
 }
 
 /**
- * Opens a logger.
+ * Sends the lines elsewhere than to standard output.
+ *
+ * @param stream - Takes whole lines.
+ */
+export function setLogDestination(stream: DestinationStream): void {
+  destination = stream;
+}
+
+/** Lines that were dropped because the reader of standard output was too slow. */
+export function countDroppedLines(): number {
+  return droppedLines;
+}
+
+/**
+ * Opens a logger. It never waits for its reader: lines beyond the bound of an event are counted
+ * in the next line of the event, lines beyond the buffer in `countDroppedLines`.
  *
  * @param part - Name of the part of the program, the field `part` on each line.
  * @param common - Fields that stand on each line, such as the instance.
  * @returns The logger.
  */
 export function openLog(part: string, common: LogFields = {}): Log {
-  const writers = new Map(levels.map((level) => [level, openWriter(level, part, common)]));
-  const write = (level: LogLevel) => writers.get(level) as Log['debug'];
+  const writer = pino(
+    {
+      level: 'debug',
+      base: { part },
+      timestamp: () => `,"time":"${new Date().toISOString()}"`,
+      formatters: { level: (label) => ({ level: label }) },
+    },
+    { write: (line: string) => findDestination().write(line) },
+  );
+  const bounds = new Map<string, LineBound>();
+  const write = (level: LogLevel): Log['debug'] => {
+    const rank = levels.indexOf(level);
+    const limit = rank >= 2 ? 2 * maxLinesPerSecond : maxLinesPerSecond;
+    return (event, fields = {}) => {
+      if (rank < leastLevel) return;
+      const bound = bounds.get(event) ?? new LineBound();
+      bounds.set(event, bound);
+      const suppressed = bound.admit(limit);
+      if (suppressed === undefined) return;
+      const line = { event, ...common, ...hideSecrets(fields) };
+      writer[level](suppressed > 0 ? { ...line, suppressed } : line);
+    };
+  };
   return {
     debug: write('debug'),
     info: write('info'),
@@ -53,20 +108,71 @@
   };
 }
 
-function openWriter(level: LogLevel, part: string, common: LogFields): Log['debug'] {
-  const writer = createDebug(`dotterelpass:${level}:${part}`);
-  writer.log = (...parts: unknown[]) => process.stderr.write(`${format(...parts)}\n`);
-  return (event, fields = {}) => {
-    if (!writer.enabled) return;
-    const line = { time: new Date().toISOString(), level, part, event, ...common, ...fields };
-    writer('%s', JSON.stringify(line, hideSecrets));
-  };
+/** Lines of one event in the present second. */
+class LineBound {
+  #second = 0;
+
+  #count = 0;
+
+  #suppressed = 0;
+
+  /** @returns Lines left out since the last one, or undefined when this one is left out, too. */
+  admit(limit: number): number | undefined {
+    const second = Math.floor(performance.now() / 1000);
+    if (second !== this.#second) {
+      this.#second = second;
+      this.#count = 0;
+    }
+    this.#count += 1;
+    if (this.#count > limit) {
+      this.#suppressed += 1;
+      return undefined;
+    }
+    const suppressed = this.#suppressed;
+    this.#suppressed = 0;
+    return suppressed;
+  }
 }
 
-// The library would add colours, names and dates around the line.
-createDebug.formatArgs = () => undefined;
+/** Standard output is opened by the first line, so that programs without a log leave it alone. */
+function findDestination(): DestinationStream {
+  if (destination) return destination;
+  const stream = pino.destination({
+    dest: standardOutput,
+    sync: false,
+    minLength: minWriteBytes,
+    maxLength: maxBufferedBytes,
+    periodicFlush: flushMs,
+  });
+  stream.on('drop', () => {
+    droppedLines += 1;
+  });
+  // A reader that has gone away must not end the program.
+  stream.on('error', () => {
+    droppedLines += 1;
+  });
+  process.on('exit', () => {
+    try {
+      stream.flushSync();
+    } catch {
+      // Nobody reads the lines any more, or the output was never opened.
+      droppedLines += 1;
+    }
+  });
+  destination = stream;
+  return stream;
+}
+
+function hideSecrets(fields: LogFields): Record<string, unknown> {
+  const shown: Record<string, unknown> = {};
+  Object.entries(fields).forEach(([field, value]) => {
+    shown[field] = secretFields.has(field) ? '[hidden]' : toShown(value);
+  });
+  return shown;
+}
 
-function hideSecrets(field: string, value: unknown): unknown {
-  if (secretFields.has(field)) return '[hidden]';
-  return value instanceof Error ? value.message : value;
+function toShown(value: unknown): unknown {
+  if (typeof value !== 'object' || value === null) return value;
+  if (value instanceof Error) return value.message;
+  return Array.isArray(value) ? value.map(toShown) : hideSecrets(value as LogFields);
 }
