Tell a reset from an orderly end for answers without a length

Ruled out: the error event of the request, which is not emitted in that case. The peer address of the connection is gone after a reset.

--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { isOrderlyEnded } from '@dotterelpass/proxy';
 
 /** Answers up to this size are read whole before the caller gets the first byte. */
 export const wholeBytes = 1024 * 1024;
@@ -33,12 +34,14 @@
       if (size > wholeBytes) cut(`an answer without a length has more than ${wholeBytes} bytes`);
       else chunks.push(chunk);
     });
-    // Node counts an answer without a length as complete also when its connection is reset; the
-    // error of the request comes first and tells the two apart.
-    requestOf(answer).once('error', (error) => cut(error.message));
     answer.on('error', (error) => cut(error.message));
     answer.on('end', () => {
       if (!answer.complete) return;
+      // Node counts an answer without a length as complete however its connection ends.
+      if (!hasFraming(answer) && !isOrderlyEnded(answer.socket)) {
+        cut('the connection was reset within a body without a length');
+        return;
+      }
       clearTimeout(timer);
       resolve({ kind: 'whole', bytes: Buffer.concat(chunks) });
     });
@@ -48,6 +51,8 @@
   });
 }
 
-function requestOf(answer: IncomingMessage): NodeJS.EventEmitter {
-  return (answer as IncomingMessage & { req: NodeJS.EventEmitter }).req;
+/** Whether an answer says where its body ends, other than by the end of its connection. */
+export function hasFraming({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  if (statusCode === 204 || statusCode === 304) return true;
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -168,6 +168,7 @@
     });
     const connection = new Connection(socket);
     this.#connections.set(socket, connection);
+    socket.once('end', recordEnd);
     socket.on('error', () => socket.destroy());
     socket.on('free', () => this.#free(connection));
     socket.on('close', () => this.#remove(connection));
@@ -223,6 +224,26 @@
   }
 }
 
+/** Connections whose other side has ended them in order. */
+const orderlyEnded = new WeakSet<Socket>();
+
+/**
+ * Tells whether the other side has ended a connection in order, and did not reset it.
+ *
+ * @param socket - A connection of a `ConnectionAgent`.
+ */
+export function isOrderlyEnded(socket: Socket): boolean {
+  return orderlyEnded.has(socket) && socket.errored === null;
+}
+
+/**
+ * libuv reports a reset that comes together with the last bytes as an ordinary end. A connection
+ * that was reset has no peer any more; the address must not have been read before.
+ */
+function recordEnd(this: Socket): void {
+  if (this.remoteAddress !== undefined) orderlyEnded.add(this);
+}
+
 /** An endpoint that sends on an idle connection, or ends it, is not to be asked on it again. */
 function cutIdle(this: Socket): void {
   this.destroy();
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,3 +1,4 @@
+export { isOrderlyEnded } from './agent.js';
 export * from './body.js';
 export * from './caller.js';
 export * from './departure.js';
