--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -10,6 +10,7 @@
 import type { Route } from './catalog.js';
 import type { Dialect } from './dialect.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
+import { hasRoom } from './picker.js';
 import type { Pick, Picker } from './picker.js';
 import type { WorkTimes } from './worktimes.js';
 
@@ -23,6 +24,8 @@
   readonly service: ServiceId;
   readonly className: ClassName;
   readonly body: Body;
+  /** Monotonic time up to which an answer is worth most, in milliseconds. */
+  readonly targetAt: number;
   /** Monotonic time at which the caller must have its answer, in milliseconds. */
   readonly deadlineAt: number;
   /** SHA-256 of method, path, query and body. */
@@ -52,7 +55,7 @@
   | {
       readonly kind: 'failed';
       readonly verdict: Verdict;
-      readonly reason: 'no-endpoint' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
+      readonly reason: 'no-endpoint' | 'overload' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
       readonly message: string;
     };
 
@@ -64,6 +67,9 @@
 /** Time that must be left for another attempt, as a share of the work's usual time. */
 const minLeftShare = 0.8;
 
+/** Share of the target latency for which a call waits for room before it is refused. */
+const holdShare = 0.1;
+
 /** Time after which an idempotent call is sent to a second endpoint, in shares. */
 const hedgeExpectedFactor = 2.5;
 const hedgeTargetShare = 0.5;
@@ -102,7 +108,12 @@
     while (sent < call.route.maxAttempts && unreached <= maxUnreached) {
       if (call.incoming.gone.aborted) return { ...toCancelled(), verdict: worst };
       if (sent > 0 && !this.#mayRetry(call, worst)) return { ...last, verdict: worst };
-      const pick = await this.#pick(call, records);
+      const pick = await this.#pickInTime(call, records);
+      if (pick === 'overload') {
+        if (sent > 0) return { ...last, verdict: worst };
+        const message = `service ${call.service} has no room for a call that would end late`;
+        return { kind: 'failed', verdict: 'not-run', reason: 'overload', message };
+      }
       if (!pick) {
         if (sent > 0) return { ...last, verdict: worst };
         const message = `service ${call.service} has no endpoint that can be reached`;
@@ -130,6 +141,22 @@
     return { ...last, verdict: worst };
   }
 
+  /**
+   * Picks an endpoint that can answer in time. A call that would be late anyway is sent only
+   * where it delays no other call: in an overload all calls would end late otherwise.
+   */
+  async #pickInTime(
+    call: Call,
+    records: readonly AttemptRecord[],
+  ): Promise<Pick | 'overload' | undefined> {
+    const first = await this.#pick(call, records);
+    if (!first || isWorthwhile(call, first)) return first;
+    await sleep(call.route.targetLatencyMs * holdShare);
+    const second = await this.#pick(call, records);
+    if (!second || isWorthwhile(call, second)) return second;
+    return 'overload';
+  }
+
   async #pick(call: Call, records: readonly AttemptRecord[]): Promise<Pick | undefined> {
     return this.#options.picker.pick({
       service: call.service,
@@ -262,7 +289,10 @@
     if (!isFailed) {
       work.record(call.className, performance.now() - startedAt, endpoint.report?.slowdown ?? 1);
     }
-    if (report) endpoint.recordReport(report, 1);
+    if (report) {
+      endpoint.recordReport(report, 1);
+      work.recordSlowdown(call.service, report.slowdown);
+    }
     if (body.kind === 'large') {
       const release = (ending: AttemptEnding) => finish('streamed', ending);
       return { kind: 'answer', answer, bytes: undefined, isSuccess: reading.isSuccess, release };
@@ -323,6 +353,10 @@
   return { ...rest, verdict: toWorse(winner.end.verdict, rest.verdict) };
 }
 
+function isWorthwhile(call: Call, { endpoint, expectedMs }: Pick): boolean {
+  return performance.now() + expectedMs <= call.targetAt || hasRoom(endpoint);
+}
+
 async function isSlowerThan(end: Promise<unknown>, ms: number): Promise<boolean> {
   const timer = new AbortController();
   const waited = sleep(ms, true, { signal: timer.signal }).catch(() => true);
--- a/packages/gateway/src/calls.ts
+++ b/packages/gateway/src/calls.ts
@@ -8,14 +8,21 @@
 import type { CallerBounds, Route } from './catalog.js';
 import type { CrashTable } from './crashes.js';
 import type { Dialect } from './dialect.js';
+import type { PatienceTable } from './patience.js';
 import type { RouteTable } from './routes.js';
 
 /** Time that a refusal asks callers to wait when the instance has no configuration yet. */
 const startRetryAfterMs = 300;
 
-/** Time that a refusal asks callers to wait when no endpoint can take the call. */
+/** Time that a refusal asks callers to wait when no endpoint can be reached. */
 const retryAfterMs = 100;
 
+/** The same when endpoints refused the call although they have room. */
+const shedRetryAfterMs = 10;
+
+/** The same when the service has more calls than it can answer in time. */
+const overloadRetryAfterMs = 250;
+
 /** Time that a refusal asks callers to wait whose request crashes endpoints. */
 const banRetryAfterMs = 60_000;
 
@@ -29,11 +36,14 @@
   readonly routes: RouteTable;
   readonly attempts: Attempts;
   readonly crashes: CrashTable;
+  readonly patience: PatienceTable;
   readonly log: Log;
   readonly metrics: Metrics;
   bounds(): CallerBounds;
 }
 
+type Times = Pick<Call, 'targetAt' | 'deadlineAt'>;
+
 /** What is told of a call when it has ended. */
 interface Ending {
   readonly status: number;
@@ -56,7 +66,7 @@
    */
   async serve(incoming: IncomingCall): Promise<void> {
     const startedAt = performance.now();
-    const { routes, dialect } = this.#options;
+    const { routes, dialect, patience } = this.#options;
     const { request, target } = incoming;
     const { id, patienceMs } = dialect.readTerms(request.headers);
     if (routes.version < 0) {
@@ -76,8 +86,10 @@
       patienceMs === undefined ? Infinity : patienceMs - deadlineMarginMs,
     );
     const deadlineAt = startedAt + Math.max(minCallMs, limitMs);
+    const waitedMs = patience.findWaitedMs(route.name, patienceMs);
+    const targetAt = startedAt + route.targetLatencyMs - waitedMs;
     const records: AttemptRecord[] = [];
-    const ending = await this.#run(incoming, id, route, deadlineAt, records);
+    const ending = await this.#run(incoming, id, route, { targetAt, deadlineAt }, records);
     const ms = performance.now() - startedAt;
     this.#report(incoming, id, route, version, ending, ms, records);
   }
@@ -86,7 +98,7 @@
     incoming: IncomingCall,
     id: Call['id'],
     route: Route,
-    deadlineAt: number,
+    { targetAt, deadlineAt }: Times,
     records: AttemptRecord[],
   ): Promise<Ending> {
     const { routes, attempts, crashes } = this.#options;
@@ -120,6 +132,7 @@
       service,
       className: toClass(route),
       body: read.value,
+      targetAt,
       deadlineAt,
       fingerprint,
     };
@@ -135,7 +148,11 @@
     }
     const { verdict, message, reason } = end;
     if (verdict === 'not-run') {
-      return this.#serveRefusal(incoming, { status: 503, verdict, message }, reason, retryAfterMs);
+      const waitMs = match(reason)
+        .with('overload', () => overloadRetryAfterMs)
+        .with('shed', () => shedRetryAfterMs)
+        .otherwise(() => retryAfterMs);
+      return this.#serveRefusal(incoming, { status: 503, verdict, message }, reason, waitMs);
     }
     const status = match(reason)
       .with('timeout', () => 504)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { CrashTable } from './crashes.js';
 import type { Dialect } from './dialect.js';
 import type { Endpoint } from './endpoint.js';
+import { PatienceTable } from './patience.js';
 import { Picker } from './picker.js';
 import { Prober } from './prober.js';
 import { Registry } from './registry.js';
@@ -120,6 +121,7 @@
       routes: this.#routes,
       attempts,
       crashes: this.#crashes,
+      patience: new PatienceTable(clock),
       log,
       metrics,
       bounds: () => this.#catalog?.bounds ?? initialBounds,
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -99,39 +99,39 @@
   /** Asks some of a group and takes the best that answered. */
   async #pickOf(group: readonly Endpoint[], need: Need): Promise<Pick | undefined> {
     if (group.length === 0) return undefined;
-    const asked = this.#sample(group, need.className);
+    const asked = this.#sample(group, need);
     const stale = asked.filter(({ reportAgeMs }) => reportAgeMs > freshMs);
     await waitForSome(stale.map((endpoint) => this.#options.probe(endpoint)));
     return this.#findBest(
       asked.filter(({ isReachable }) => isReachable),
-      need.className,
+      need,
     );
   }
 
   #pickAny(group: readonly Endpoint[], need: Need): Pick | undefined {
     return this.#findBest(
       group.filter(({ isReachable }) => isReachable),
-      need.className,
+      need,
     );
   }
 
   /** Takes a random part of a large group and the best by what is known. */
-  #sample(group: readonly Endpoint[], className: ClassName): readonly Endpoint[] {
+  #sample(group: readonly Endpoint[], need: Need): readonly Endpoint[] {
     if (group.length <= probeWidth) return group;
     const ranked = group
       .map((endpoint) => ({
         endpoint,
-        rank: this.#findExpectedMs(endpoint, className) * (0.5 + this.#options.random.next()),
+        rank: this.#findExpectedMs(endpoint, need) * (0.5 + this.#options.random.next()),
       }))
       .sort((a, b) => a.rank - b.rank);
     return ranked.slice(0, probeWidth).map(({ endpoint }) => endpoint);
   }
 
-  #findBest(group: readonly Endpoint[], className: ClassName): Pick | undefined {
+  #findBest(group: readonly Endpoint[], need: Need): Pick | undefined {
     let best: Pick | undefined;
     let bestLoad = Infinity;
     group.forEach((endpoint) => {
-      const expectedMs = this.#findExpectedMs(endpoint, className);
+      const expectedMs = this.#findExpectedMs(endpoint, need);
       const { load } = endpoint;
       const isBetter =
         !best ||
@@ -145,21 +145,30 @@
     return best;
   }
 
-  #findExpectedMs(endpoint: Endpoint, className: ClassName): number {
+  #findExpectedMs(endpoint: Endpoint, { service, className }: Need): number {
+    const { work } = this.#options;
     const { registration, report, load, isWarm, isHealthy } = endpoint;
     const slots = Math.max(1, registration.slots);
-    const workMs = this.#options.work.findMs(className);
-    const isBusy = load + 1 >= busyShare * slots;
+    const usualMs = work.findMs(className) * (isWarm ? 1 : coldFactor);
+    const busy = hasRoom(endpoint) ? 1 : busyFactor;
     const waits = Math.max(0, load + 1 - slots) / slots;
+    const slowdown = report?.slowdown ?? work.findSlowdown(service);
     const penalty =
       failureFactor ** endpoint.failureScore *
       shedFactor ** endpoint.shedScore *
-      (isHealthy ? 1 : unhealthyFactor) *
-      (isWarm ? 1 : coldFactor);
-    return workMs * (report?.slowdown ?? 1) * (isBusy ? busyFactor : 1) * (1 + waits) * penalty;
+      (isHealthy ? 1 : unhealthyFactor);
+    return work.estimate(service, usualMs * busy * (1 + waits), slowdown) * penalty;
   }
 }
 
+/**
+ * Tells whether an endpoint takes one more call without slowing down the others: most run fewer
+ * calls a second when all of their slots are in use.
+ */
+export function hasRoom({ load, registration }: Endpoint): boolean {
+  return load + 1 <= Math.max(1, busyShare * registration.slots);
+}
+
 /** Waits until all have answered, or until one has and the others had some time more. */
 async function waitForSome(probes: readonly Promise<boolean>[]): Promise<void> {
   if (probes.length === 0) return;
