--- a/packages/gateway/src/calls.ts
+++ b/packages/gateway/src/calls.ts
@@ -91,7 +91,8 @@
     const records: AttemptRecord[] = [];
     const ending = await this.#run(incoming, id, route, { targetAt, deadlineAt }, records);
     const ms = performance.now() - startedAt;
-    this.#report(incoming, id, route, version, ending, ms, records);
+    const inputs = { configVersion: version, patienceMs, waitedMs };
+    this.#report(incoming, id, route, inputs, ending, ms, records);
   }
 
   async #run(
@@ -226,7 +227,7 @@
     { target }: IncomingCall,
     id: Call['id'],
     route: Route,
-    version: number,
+    inputs: Readonly<Record<string, unknown>>,
     { status, verdict, reason }: Ending,
     ms: number,
     records: readonly AttemptRecord[],
@@ -244,7 +245,7 @@
     const line = {
       requestId: id,
       route: route.name,
-      configVersion: version,
+      ...inputs,
       status,
       verdict,
       reason,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -69,6 +69,8 @@
 
   readonly #crashes: CrashTable;
 
+  readonly #patience = new PatienceTable();
+
   readonly #callers: CallerServer;
 
   #limits: FleetLimits;
@@ -121,7 +123,7 @@
       routes: this.#routes,
       attempts,
       crashes: this.#crashes,
-      patience: new PatienceTable(clock),
+      patience: this.#patience,
       log,
       metrics,
       bounds: () => this.#catalog?.bounds ?? initialBounds,
@@ -160,6 +162,7 @@
     if (!this.#routes.apply(catalog)) return;
     this.#catalog = catalog;
     this.#callers.setBounds(catalog.bounds);
+    this.#patience.retain(new Set(catalog.routes.map(({ name }) => name)));
     const { version, routes, services } = catalog;
     this.#options.log.info('configuration-in-force', {
       version,
