--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'coverage/**', 'out/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'coverage/**', 'out/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.typescriptEslint,
@@ -14,7 +14,7 @@
     languageOptions: {
       parserOptions: {
         projectService: false,
-        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json', 'tsconfig.test.json'],
       },
     },
     rules: {
--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -23,12 +23,13 @@
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
+    let timer: NodeJS.Timeout | undefined;
     const cut = (message: string) => {
       clearTimeout(timer);
       answer.destroy();
       resolve({ kind: 'cut', message });
     };
-    const timer = setTimeout(() => cut('the body did not come in time'), timeoutMs);
+    timer = setTimeout(() => cut('the body did not come in time'), timeoutMs);
     answer.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size > wholeBytes) cut(`an answer without a length has more than ${wholeBytes} bytes`);
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -55,10 +55,13 @@
   | {
       readonly kind: 'failed';
       readonly verdict: Verdict;
-      readonly reason: 'no-endpoint' | 'overload' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
+      readonly reason:
+        'no-endpoint' | 'overload' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
       readonly message: string;
     };
 
+type Answer = Extract<CallEnd, { kind: 'answer' }>;
+
 type Failed = Extract<CallEnd, { kind: 'failed' }>;
 
 /** Attempts that never reached an endpoint and so do not count for the route's limit. */
@@ -102,41 +105,29 @@
     const { budget } = this.#options;
     budget.recordCall([call.service]);
     let worst: Verdict = 'not-run';
-    let sent = 0;
-    let unreached = 0;
     let last: Failed = { kind: 'failed', verdict: 'not-run', reason: 'no-endpoint', message: '' };
-    while (sent < call.route.maxAttempts && unreached <= maxUnreached) {
-      if (call.incoming.gone.aborted) return { ...toCancelled(), verdict: worst };
-      if (sent > 0 && !this.#mayRetry(call, worst)) return { ...last, verdict: worst };
+    while (mayAttempt(call, records)) {
+      const isRetry = countSent(records) > 0;
+      if (isRetry && !this.#mayRetry(call, worst)) return { ...last, verdict: worst };
       const pick = await this.#pickInTime(call, records);
-      if (pick === 'overload') {
-        if (sent > 0) return { ...last, verdict: worst };
-        const message = `service ${call.service} has no room for a call that would end late`;
-        return { kind: 'failed', verdict: 'not-run', reason: 'overload', message };
-      }
-      if (!pick) {
-        if (sent > 0) return { ...last, verdict: worst };
-        const message = `service ${call.service} has no endpoint that can be reached`;
-        return { kind: 'failed', verdict: 'not-run', reason: 'no-endpoint', message };
-      }
       if (call.incoming.gone.aborted) return { ...toCancelled(), verdict: worst };
-      if (sent > 0) this.#recordExtra(call, 'retry');
-      const end = await this.#sendHedged(call, pick, records, () => {
-        sent += 1;
-      });
-      if (end.kind === 'answer' && !this.#wantsRetry(call, end, sent)) return end;
+      if (pick === undefined || pick === 'overload') {
+        return isRetry ? { ...last, verdict: worst } : toUnsent(call, pick);
+      }
+      if (isRetry) this.#recordExtra(call, 'retry');
+      const end = await this.#sendHedged(call, pick, records);
       if (end.kind === 'answer') {
-        if (!this.#mayRetry(call, 'ran')) return end;
+        if (!this.#wantsRetry(call, end, records)) return end;
         end.release('failed');
-        worst = 'ran';
-        sent += 1;
-        last = { kind: 'failed', verdict: 'ran', reason: 'invalid', message: 'failed answer' };
-        continue;
-      }
-      if (end.reason === 'no-endpoint') unreached += 1;
-      else sent += 1;
-      worst = toWorse(worst, end.verdict);
-      last = end;
+        const { statusCode } = end.answer;
+        last = {
+          kind: 'failed',
+          verdict: 'ran',
+          reason: 'invalid',
+          message: `an endpoint answered ${statusCode}`,
+        };
+      } else last = end;
+      worst = toWorse(worst, last.verdict);
     }
     return { ...last, verdict: worst };
   }
@@ -167,10 +158,9 @@
   }
 
   /** A failed answer of an idempotent call is tried elsewhere; the last one is passed on. */
-  #wantsRetry({ route, body }: Call, end: CallEnd, sent: number): boolean {
-    if (end.kind !== 'answer' || end.isSuccess || route.repeat !== 'idempotent') return false;
+  #wantsRetry(call: Call, end: Answer, records: readonly AttemptRecord[]): boolean {
     const status = end.answer.statusCode ?? 0;
-    return status >= 500 && body.kind !== 'stream' && sent + 1 < route.maxAttempts;
+    return status >= 500 && mayAttempt(call, records) && this.#mayRetry(call, 'ran');
   }
 
   #mayRetry(call: Call, verdict: Verdict): boolean {
@@ -188,15 +178,9 @@
   }
 
   /** Sends a call; an idempotent one that takes long goes to a second endpoint as well. */
-  async #sendHedged(
-    call: Call,
-    pick: Pick,
-    records: AttemptRecord[],
-    onHedge: () => void,
-  ): Promise<CallEnd> {
+  async #sendHedged(call: Call, pick: Pick, records: AttemptRecord[]): Promise<CallEnd> {
     const { route, body, incoming } = call;
-    const canHedge =
-      route.repeat === 'idempotent' && body.kind !== 'stream' && route.maxAttempts > records.length + 1;
+    const canHedge = route.repeat === 'idempotent' && body.kind !== 'stream';
     const cancelFirst = incoming.gone.makeChild();
     const first = this.#send(call, pick, records, cancelFirst);
     if (!canHedge) return first;
@@ -204,10 +188,10 @@
       hedgeExpectedFactor * pick.expectedMs,
       hedgeTargetShare * route.targetLatencyMs,
     );
-    if (!(await isSlowerThan(first, afterMs)) || !this.#mayRetry(call, 'may-have-run')) return first;
+    if (!(await isSlowerThan(first, afterMs)) || !this.#mayRetry(call, 'may-have-run'))
+      return first;
     const other = await this.#pick(call, records);
     if (!other || incoming.gone.aborted) return first;
-    onHedge();
     this.#recordExtra(call, 'hedge');
     const cancelSecond = incoming.gone.makeChild();
     const second = this.#send(call, other, records, cancelSecond);
@@ -299,7 +283,13 @@
     }
     finish(String(head.status), isFailed ? 'failed' : 'answered');
     const { bytes } = body;
-    return { kind: 'answer', answer, bytes, isSuccess: reading.isSuccess, release: () => undefined };
+    return {
+      kind: 'answer',
+      answer,
+      bytes,
+      isSuccess: reading.isSuccess,
+      release: () => undefined,
+    };
   }
 
   #toFailed(
@@ -353,6 +343,34 @@
   return { ...rest, verdict: toWorse(winner.end.verdict, rest.verdict) };
 }
 
+/** Attempts that reached an endpoint, as far as is known. */
+function countSent(records: readonly AttemptRecord[]): number {
+  return records.filter(({ outcome }) => outcome !== 'unreachable').length;
+}
+
+function mayAttempt({ route, incoming }: Call, records: readonly AttemptRecord[]): boolean {
+  if (incoming.gone.aborted) return false;
+  const sent = countSent(records);
+  return sent < route.maxAttempts && records.length - sent <= maxUnreached;
+}
+
+function toUnsent({ service }: Call, pick: 'overload' | undefined): Failed {
+  const verdict = 'not-run';
+  return pick === 'overload'
+    ? {
+        kind: 'failed',
+        verdict,
+        reason: 'overload',
+        message: `service ${service} has no room for a call that would end late`,
+      }
+    : {
+        kind: 'failed',
+        verdict,
+        reason: 'no-endpoint',
+        message: `service ${service} has no endpoint that can be reached`,
+      };
+}
+
 function isWorthwhile(call: Call, { endpoint, expectedMs }: Pick): boolean {
   return performance.now() + expectedMs <= call.targetAt || hasRoom(endpoint);
 }
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -1,4 +1,10 @@
-import type { Branded, ClassName, EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
+import type {
+  Branded,
+  ClassName,
+  EndpointId,
+  FailureDomain,
+  ServiceId,
+} from '@dotterelpass/values';
 
 export type RouteName = Branded<'route'>;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -116,7 +116,9 @@
       work,
       budget: this.#budget,
       metrics,
-      onReset: (call, endpoint) => void this.#checkCrash(call, endpoint),
+      onReset: (call, endpoint) => {
+        void this.#checkCrash(call, endpoint);
+      },
     });
     const path = new CallPath({
       dialect,
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -69,7 +69,12 @@
     const { instance, incarnation, ip, peerPort, store, schema } = options;
     const { clock, random, log, metrics } = options;
     this.#gateway = new Gateway(
-      { ...options, onBan: (fingerprint) => void this.#fleet.writeBan(fingerprint) },
+      {
+        ...options,
+        onBan: (fingerprint) => {
+          void this.#fleet.writeBan(fingerprint);
+        },
+      },
       expectedInstances,
     );
     const gateway = this.#gateway;
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -81,9 +81,7 @@
    */
   async pick(need: Need): Promise<Pick | undefined> {
     const { failureDomain, list } = this.#options;
-    const open = list(need.service).filter(
-      ({ registration: { id } }) => !need.tried.includes(id),
-    );
+    const open = list(need.service).filter(({ registration: { id } }) => !need.tried.includes(id));
     const reachable = open.filter(({ isReachable }) => isReachable);
     const usable = reachable.length > 0 ? reachable : open;
     const near = usable.filter(({ registration }) => registration.failureDomain === failureDomain);
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -50,9 +50,11 @@
 
   /** Forgets endpoints that are registered no more. */
   retain(isKnown: (id: EndpointId) => boolean): void {
-    [...this.#notBefore.keys()].filter((id) => !isKnown(id)).forEach((id) => {
-      this.#notBefore.delete(id);
-    });
+    [...this.#notBefore.keys()]
+      .filter((id) => !isKnown(id))
+      .forEach((id) => {
+        this.#notBefore.delete(id);
+      });
   }
 
   async #ask(endpoint: Endpoint): Promise<boolean> {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -124,7 +124,9 @@
       ? {
           revision: listing.revision,
           keys: listing.items.map(({ key }) => key),
-          items: listing.items.filter((item) => item.revision > revision).map((item) => ({ ...item })),
+          items: listing.items
+            .filter((item) => item.revision > revision)
+            .map((item) => ({ ...item })),
         }
       : null,
     listingAgeMs,
--- a/packages/gateway/test/answer.test.ts
+++ b/packages/gateway/test/answer.test.ts
@@ -36,8 +36,7 @@
   it.each([
     {
       name: 'an answer with a length',
-      answer: (socket: Socket) =>
-        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'),
+      answer: (socket: Socket) => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'),
       expected: 'whole',
     },
     {
@@ -53,8 +52,7 @@
     },
     {
       name: 'an answer without a length that is reset later',
-      answer: (socket: Socket) =>
-        socket.write(unframed, () => setTimeout(() => reset(socket), 20)),
+      answer: (socket: Socket) => socket.write(unframed, () => setTimeout(() => reset(socket), 20)),
       expected: 'cut',
     },
     {
@@ -77,7 +75,8 @@
       body: { kind: 'none' },
       timeoutMs: 2000,
     });
-    const reading = await readAnswer(sent._unsafeUnwrap(), 2000);
+    if (sent.isErr()) throw new Error(sent.error.message);
+    const reading = await readAnswer(sent.value, 2000);
     expect(reading.kind).toBe(expected);
     if (reading.kind === 'whole') expect(reading.bytes.toString()).toBe('hello');
   });
--- a/packages/retries/src/budget.ts
+++ b/packages/retries/src/budget.ts
@@ -59,7 +59,9 @@
    * @returns Whether all of them have room for one more extra attempt.
    */
   hasRoom(groups: readonly string[]): boolean {
-    return groups.every((group) => this.#findWindow(group).hasRoom(this.#limits.share, this.#limits.allowance));
+    return groups.every((group) =>
+      this.#findWindow(group).hasRoom(this.#limits.share, this.#limits.allowance),
+    );
   }
 
   /** @param groups - Every group of a call that makes an extra attempt now. */
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -39,7 +39,7 @@
 
 const standardOutput = 1;
 
-let leastLevel = 0;
+let leastLevel = levels.indexOf('info');
 
 let destination: DestinationStream | undefined;
 
