--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -91,8 +91,12 @@
 export class Attempts {
   readonly #options: AttemptsOptions;
 
+  /** Request headers that are written anew; two lengths would let a body pass for a request. */
+  readonly #forwardedWithout: ReadonlySet<string>;
+
   constructor(options: AttemptsOptions) {
     this.#options = options;
+    this.#forwardedWithout = new Set([...options.dialect.replaced, 'content-length']);
   }
 
   /**
@@ -223,7 +227,7 @@
       method: call.method,
       path: call.incoming.target.pathAndQuery,
       headers: [
-        ...copyEndToEnd(call.incoming.request.rawHeaders, dialect.replaced),
+        ...copyEndToEnd(call.incoming.request.rawHeaders, this.#forwardedWithout),
         ...dialect.writeTerms(id, leftMs),
       ],
       body: call.body,
@@ -376,11 +380,13 @@
 }
 
 async function isSlowerThan(end: Promise<unknown>, ms: number): Promise<boolean> {
-  const timer = new AbortController();
-  const waited = sleep(ms, true, { signal: timer.signal }).catch(() => true);
-  const isSlow = await Promise.race([end.then(() => false), waited]);
-  timer.abort();
-  return isSlow;
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve(true), ms);
+    void end.then(() => {
+      clearTimeout(timer);
+      resolve(false);
+    });
+  });
 }
 
 function toCancelled(): Failed {
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -60,7 +60,8 @@
       connectMs,
       idleMs: defaultIdleMs,
       readUnbounded: true,
-      readCalls: async () => undefined,
+      // Idempotent calls go to a second endpoint when the first is silent.
+      silenceMs: Infinity,
     });
   }
 
--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -53,7 +53,7 @@
 const lapseMs = 2000;
 
 /** Outages shorter than this make no registration lapse, in milliseconds. */
-const shortOutageMs = 1000;
+const shortOutageMs = 1200;
 
 /** What another instance may be told: items as the store gave them. */
 export interface Knowledge {
@@ -76,6 +76,8 @@
   /** Since when calls to the store fail; undefined while they do not. */
   #lostSince: number | undefined;
 
+  #answeredAt = -Infinity;
+
   /** Until when missing registrations are kept. */
   #keepUntil = -Infinity;
 
@@ -194,11 +196,13 @@
       return false;
     }
     if (this.#lostSince !== undefined) {
-      const lostMs = now - this.#lostSince;
+      // The store may have been away since its last answer, before a call failed.
+      const lostMs = now - this.#answeredAt;
       this.#lostSince = undefined;
       if (lostMs > shortOutageMs) this.#keepUntil = now + lapseMs;
       log.info('store-regained', { what, lostMs: Math.round(lostMs) });
     }
+    this.#answeredAt = now;
     return true;
   }
 
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -1,4 +1,3 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import type { ClassName, EndpointId, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
 import type { Endpoint } from './endpoint.js';
 import type { WorkTimes } from './worktimes.js';
@@ -170,14 +169,23 @@
 /** Waits until all have answered, or until one has and the others had some time more. */
 async function waitForSome(probes: readonly Promise<boolean>[]): Promise<void> {
   if (probes.length === 0) return;
-  const all = Promise.all(probes);
-  const timer = new AbortController();
-  const grace = sleep(graceMs, undefined, { signal: timer.signal }).catch(() => undefined);
-  const any = Promise.any(
-    probes.map(async (probe) => {
-      if (!(await probe)) throw new Error('the endpoint did not answer');
-    }),
-  ).catch(() => undefined);
-  await Promise.race([all, Promise.all([grace, any])]);
-  timer.abort();
+  await new Promise<void>((resolve) => {
+    let open = probes.length;
+    let hasAnswer = false;
+    let isGraceOver = false;
+    const timer = setTimeout(() => {
+      isGraceOver = true;
+      if (hasAnswer) resolve();
+    }, graceMs);
+    const settle = (answered: boolean) => {
+      open -= 1;
+      hasAnswer ||= answered;
+      if (open > 0 && !(hasAnswer && isGraceOver)) return;
+      clearTimeout(timer);
+      resolve();
+    };
+    probes.forEach((probe) => {
+      void probe.then(settle);
+    });
+  });
 }
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -3,6 +3,9 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 
+/** Looks at the idle connections in the time after which one is closed; each wakes the process. */
+const sweepsPerIdle = 5;
+
 /** What a request asks of its connection. */
 export interface ConnectionOptions extends RequestOptions {
   /** Only a connection that answered a short while ago, or a new one. */
@@ -191,7 +194,7 @@
     connection.startIdle();
     this.#idle.push(connection);
     if (this.#sweep) return;
-    const everyMs = Math.max(10, this.#limits.idleMs / 15);
+    const everyMs = Math.max(10, this.#limits.idleMs / sweepsPerIdle);
     this.#sweep = setInterval(() => this.#sweepIdle(), everyMs).unref();
   }
 
--- a/packages/proxy/src/silence.ts
+++ b/packages/proxy/src/silence.ts
@@ -2,7 +2,7 @@
 
 /** When a connection counts as silent and how that is checked, in milliseconds. */
 export interface SilenceLimits {
-  /** Time without a byte after which the endpoint is asked. */
+  /** Time without a byte after which the endpoint is asked; infinite for no watch. */
   readonly silenceMs: number;
   /** Time between the two questions. */
   readonly evidenceMs: number;
@@ -79,6 +79,7 @@
 
   /** @param outgoing - A request whose connection is watched until it closes. */
   add(outgoing: ClientRequest): void {
+    if (this.#limits.silenceMs === Infinity) return;
     const entry = new Outstanding(outgoing);
     this.#outstanding.add(entry);
     outgoing.once('close', () => this.#outstanding.delete(entry));
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -32,10 +32,10 @@
 const maxBufferedBytes = 1024 * 1024;
 
 /** Longest time that a line waits for further ones, in milliseconds. */
-const flushMs = 200;
+const flushMs = 500;
 
 /** Bytes that are written at once without waiting for further lines. */
-const minWriteBytes = 4096;
+const minWriteBytes = 8 * 1024;
 
 const standardOutput = 1;
 
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -8,6 +8,9 @@
   0.0005, 0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1, 2, 4, 8, 16, 32,
 ];
 
+/** The event loop's lag is sampled this often, in milliseconds; each sample wakes the process. */
+const loopLagStepMs = 1000;
+
 /** What happened to one call, for its metrics. */
 export interface CallRecord {
   readonly service: string;
@@ -37,7 +40,10 @@
   /** @param common - Labels on every metric, such as the instance. */
   constructor(common: Readonly<Record<string, string>> = {}) {
     this.#registry.setDefaultLabels(common);
-    collectDefaultMetrics({ register: this.#registry });
+    collectDefaultMetrics({
+      register: this.#registry,
+      eventLoopMonitoringPrecision: loopLagStepMs,
+    });
     this.#latency = new Histogram({
       name: 'dotterelpass_call_seconds',
       help: 'Time from the first byte of a request to the last byte of its answer.',
