--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -192,8 +192,8 @@
       hedgeExpectedFactor * pick.expectedMs,
       hedgeTargetShare * route.targetLatencyMs,
     );
-    if (!(await isSlowerThan(first, afterMs)) || !this.#mayRetry(call, 'may-have-run'))
-      return first;
+    if (!(await isSlowerThan(first, afterMs))) return first;
+    if (!mayAttempt(call, records) || !this.#mayRetry(call, 'may-have-run')) return first;
     const other = await this.#pick(call, records);
     if (!other || incoming.gone.aborted) return first;
     this.#recordExtra(call, 'hedge');
