--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -15,7 +15,7 @@
  * Share of the target latency within which an endpoint in the same failure domain is taken
  * without asking those in others: bytes between failure domains cost money.
  */
-const nearShare = 0.6;
+const nearShare = 0.8;
 
 /** An endpoint elsewhere must be this much faster than the best one near. */
 const farGain = 0.75;
