Let failures and refusals rank endpoints without counting as expected time

Cause: when all endpoints of a service refuse some calls, their penalties made every call look late, so calls were refused and others sent to other failure domains.

--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -48,7 +48,10 @@
 /** A choice with what decided it. */
 export interface Pick {
   readonly endpoint: Endpoint;
+  /** Time until the answer, if there is one, in milliseconds. */
   readonly expectedMs: number;
+  /** The expected time, longer for endpoints that failed or refused more than others did. */
+  readonly rankMs: number;
   /** Age of the load report that was used, in milliseconds; infinite when there is none. */
   readonly reportAgeMs: number;
 }
@@ -75,26 +78,28 @@
   /**
    * Picks an endpoint.
    *
-   * @param need - The call.
+   * @param call - What the call needs.
    * @returns Undefined when the service has no endpoint left to try.
    */
-  async pick(need: Need): Promise<Pick | undefined> {
+  async pick(call: Need): Promise<Pick | undefined> {
     const { failureDomain, list } = this.#options;
-    const open = list(need.service).filter(({ registration: { id } }) => !need.tried.includes(id));
+    const open = list(call.service).filter(({ registration: { id } }) => !call.tried.includes(id));
     const reachable = open.filter(({ isReachable }) => isReachable);
     const usable = reachable.length > 0 ? reachable : open;
+    const leastPenalty = Math.min(...usable.map(findPenalty));
+    const need: Ranking = { ...call, leastPenalty };
     const near = usable.filter(({ registration }) => registration.failureDomain === failureDomain);
     const bestNear = await this.#pickOf(near, need);
-    if (bestNear && bestNear.expectedMs <= nearShare * need.targetLatencyMs) return bestNear;
+    if (bestNear && bestNear.rankMs <= nearShare * need.targetLatencyMs) return bestNear;
     const far = usable.filter(({ registration }) => registration.failureDomain !== failureDomain);
     const bestFar = await this.#pickOf(far, need);
     if (!bestNear) return bestFar ?? this.#pickAny(usable, need);
-    if (bestFar && bestFar.expectedMs < farGain * bestNear.expectedMs) return bestFar;
+    if (bestFar && bestFar.rankMs < farGain * bestNear.rankMs) return bestFar;
     return bestNear;
   }
 
   /** Asks some of a group and takes the best that answered. */
-  async #pickOf(group: readonly Endpoint[], need: Need): Promise<Pick | undefined> {
+  async #pickOf(group: readonly Endpoint[], need: Ranking): Promise<Pick | undefined> {
     if (group.length === 0) return undefined;
     const asked = this.#sample(group, need);
     const stale = asked.filter(({ reportAgeMs }) => reportAgeMs > freshMs);
@@ -105,7 +110,7 @@
     );
   }
 
-  #pickAny(group: readonly Endpoint[], need: Need): Pick | undefined {
+  #pickAny(group: readonly Endpoint[], need: Ranking): Pick | undefined {
     return this.#findBest(
       group.filter(({ isReachable }) => isReachable),
       need,
@@ -113,51 +118,61 @@
   }
 
   /** Takes a random part of a large group and the best by what is known. */
-  #sample(group: readonly Endpoint[], need: Need): readonly Endpoint[] {
+  #sample(group: readonly Endpoint[], need: Ranking): readonly Endpoint[] {
     if (group.length <= probeWidth) return group;
     const ranked = group
       .map((endpoint) => ({
         endpoint,
-        rank: this.#findExpectedMs(endpoint, need) * (0.5 + this.#options.random.next()),
+        rank: this.#rank(endpoint, need).rankMs * (0.5 + this.#options.random.next()),
       }))
       .sort((a, b) => a.rank - b.rank);
     return ranked.slice(0, probeWidth).map(({ endpoint }) => endpoint);
   }
 
-  #findBest(group: readonly Endpoint[], need: Need): Pick | undefined {
+  #findBest(group: readonly Endpoint[], need: Ranking): Pick | undefined {
     let best: Pick | undefined;
     let bestLoad = Infinity;
     group.forEach((endpoint) => {
-      const expectedMs = this.#findExpectedMs(endpoint, need);
+      const pick = this.#rank(endpoint, need);
       const { load } = endpoint;
       const isBetter =
         !best ||
-        expectedMs < best.expectedMs ||
-        (expectedMs === best.expectedMs &&
+        pick.rankMs < best.rankMs ||
+        (pick.rankMs === best.rankMs &&
           (load < bestLoad || (load === bestLoad && this.#options.random.next() < 0.5)));
       if (!isBetter) return;
-      best = { endpoint, expectedMs, reportAgeMs: endpoint.reportAgeMs };
+      best = pick;
       bestLoad = load;
     });
     return best;
   }
 
-  #findExpectedMs(endpoint: Endpoint, { service, className }: Need): number {
+  #rank(endpoint: Endpoint, { service, className, leastPenalty }: Ranking): Pick {
     const { work } = this.#options;
-    const { registration, report, load, isWarm, isHealthy } = endpoint;
+    const { registration, report, load, isWarm, reportAgeMs } = endpoint;
     const slots = Math.max(1, registration.slots);
     const usualMs = work.findMs(className) * (isWarm ? 1 : coldFactor);
     const busy = hasRoom(endpoint) ? 1 : busyFactor;
     const waits = Math.max(0, load + 1 - slots) / slots;
     const slowdown = report?.slowdown ?? work.findSlowdown(service);
-    const penalty =
-      failureFactor ** endpoint.failureScore *
-      shedFactor ** endpoint.shedScore *
-      (isHealthy ? 1 : unhealthyFactor);
-    return work.estimate(service, usualMs * busy * (1 + waits), slowdown) * penalty;
+    const expectedMs = work.estimate(service, usualMs * busy * (1 + waits), slowdown);
+    const rankMs = (expectedMs * findPenalty(endpoint)) / leastPenalty;
+    return { endpoint, expectedMs, rankMs, reportAgeMs };
   }
 }
 
+/** What a choice among endpoints needs. */
+interface Ranking extends Need {
+  /** Penalty of the endpoint that failed least: failures that all have in common do not count. */
+  readonly leastPenalty: number;
+}
+
+function findPenalty({ failureScore, shedScore, isHealthy }: Endpoint): number {
+  return (
+    failureFactor ** failureScore * shedFactor ** shedScore * (isHealthy ? 1 : unhealthyFactor)
+  );
+}
+
 /**
  * Tells whether an endpoint takes one more call without slowing down the others: most run fewer
  * calls a second when all of their slots are in use.
