--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -23,6 +23,8 @@
   readonly route: Route;
   readonly service: ServiceId;
   readonly className: ClassName;
+  /** Whether the service also has calls that are less urgent. */
+  readonly isUrgent: boolean;
   readonly body: Body;
   /** Monotonic time up to which an answer is worth most, in milliseconds. */
   readonly targetAt: number;
@@ -376,6 +378,7 @@
 }
 
 function isWorthwhile(call: Call, { endpoint, expectedMs }: Pick): boolean {
+  if (call.isUrgent && endpoint.load <= endpoint.registration.slots) return true;
   return performance.now() + expectedMs <= call.targetAt || hasRoom(endpoint);
 }
 
--- a/packages/gateway/src/calls.ts
+++ b/packages/gateway/src/calls.ts
@@ -132,6 +132,7 @@
       route,
       service,
       className: toClass(route),
+      isUrgent: routes.isUrgent(route, service),
       body: read.value,
       targetAt,
       deadlineAt,
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -10,6 +10,9 @@
 
   #hosts = new Map<string, readonly Route[]>();
 
+  /** Priority of the least urgent route of each service. */
+  #leastUrgent = new Map<ServiceId, number>();
+
   /** Credits outlive a change of the configuration, so that frequent changes keep the shares. */
   #credits = new Map<RouteName, Credits>();
 
@@ -36,6 +39,13 @@
     const names = new Set(catalog.routes.map(({ name }) => name));
     this.#credits = new Map([...this.#credits].filter(([name]) => names.has(name)));
     this.#hosts = hosts;
+    this.#leastUrgent = new Map();
+    catalog.routes.forEach(({ targets, priority }) => {
+      targets.forEach(({ service }) => {
+        const known = this.#leastUrgent.get(service) ?? 0;
+        this.#leastUrgent.set(service, Math.max(known, priority));
+      });
+    });
     this.#version = catalog.version;
     return true;
   }
@@ -50,6 +60,11 @@
     return this.#hosts.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
   }
 
+  /** Whether a service also has routes that are less urgent than this one. */
+  isUrgent({ priority }: Route, service: ServiceId): boolean {
+    return priority < (this.#leastUrgent.get(service) ?? 0);
+  }
+
   /**
    * Picks the service of the next call of a route: smooth weighted round robin, whose shares hold
    * over any short run of calls.
