--- a/packages/gateway/src/calls.ts
+++ b/packages/gateway/src/calls.ts
@@ -9,6 +9,7 @@
 import type { CrashTable } from './crashes.js';
 import type { Dialect } from './dialect.js';
 import type { PatienceTable } from './patience.js';
+import type { RecentFailures } from './recent.js';
 import type { RouteTable } from './routes.js';
 
 /** Time that a refusal asks callers to wait when the instance has no configuration yet. */
@@ -37,6 +38,7 @@
   readonly attempts: Attempts;
   readonly crashes: CrashTable;
   readonly patience: PatienceTable;
+  readonly recent: RecentFailures;
   readonly log: Log;
   readonly metrics: Metrics;
   bounds(): CallerBounds;
@@ -254,7 +256,10 @@
       attempts: records,
     };
     if (reason === 'served') log.info('request', line);
-    else log.info('request-failed', line);
+    else {
+      log.info('request-failed', line);
+      if (id !== undefined) this.#options.recent.add(id, line);
+    }
   }
 }
 
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -1,4 +1,5 @@
 import { EndpointPool } from '@dotterelpass/proxy';
+import type { LogFields } from '@dotterelpass/telemetry';
 import type { Clock } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import type { LoadReport } from './dialect.js';
@@ -168,6 +169,26 @@
     this.#reportedAt = -Infinity;
   }
 
+  /** @returns What an operator may want to know of the endpoint, as JSON. */
+  readStatus(): LogFields {
+    const { id, address, failureDomain, slots } = this.#registration;
+    return {
+      id,
+      address,
+      failureDomain,
+      slots,
+      report: this.#report,
+      reportAgeMs: Math.round(this.reportAgeMs),
+      inFlight: this.#inFlight,
+      connections: this.#pool.size,
+      isReachable: this.isReachable,
+      isHealthy: this.#isHealthy,
+      isWarm: this.isWarm,
+      failureScore: this.failureScore,
+      shedScore: this.shedScore,
+    };
+  }
+
   close(): void {
     this.#pool.close();
   }
--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -40,11 +40,11 @@
 const watchMs = 2500;
 
 /** Time between readings of the registrations, in milliseconds. */
-const listMs = 1100;
+const listMs = 1500;
 
 /** Bounds of the wait after a failed call, in milliseconds. */
-const minRetryMs = 50;
-const maxRetryMs = 400;
+const minRetryMs = 100;
+const maxRetryMs = 1000;
 
 /**
  * Time after the store's return in which registrations that lapsed meanwhile may come back, in
@@ -53,7 +53,7 @@
 const lapseMs = 2000;
 
 /** Outages shorter than this make no registration lapse, in milliseconds. */
-const shortOutageMs = 1200;
+const shortOutageMs = 1700;
 
 /** What another instance may be told: items as the store gave them. */
 export interface Knowledge {
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -16,7 +16,7 @@
 
 /** Bounds of the wait after a failed call, in milliseconds. */
 const minRetryMs = 50;
-const maxRetryMs = 1000;
+const maxRetryMs = 4000;
 
 /** Time to live of what an instance registers. It is not renewed: a restart registers anew. */
 const leaseMs = 600_000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import { CallerServer } from '@dotterelpass/proxy';
 import { RetryBudget } from '@dotterelpass/retries';
-import type { Log, Metrics } from '@dotterelpass/telemetry';
+import type { Log, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
 import { Attempts } from './attempts.js';
 import type { Call } from './attempts.js';
@@ -12,6 +12,7 @@
 import { PatienceTable } from './patience.js';
 import { Picker } from './picker.js';
 import { Prober } from './prober.js';
+import { RecentFailures } from './recent.js';
 import { Registry } from './registry.js';
 import { RouteTable } from './routes.js';
 import { WorkTimes } from './worktimes.js';
@@ -71,6 +72,8 @@
 
   readonly #patience = new PatienceTable();
 
+  readonly #recent = new RecentFailures();
+
   readonly #callers: CallerServer;
 
   #limits: FleetLimits;
@@ -126,6 +129,7 @@
       attempts,
       crashes: this.#crashes,
       patience: this.#patience,
+      recent: this.#recent,
       log,
       metrics,
       bounds: () => this.#catalog?.bounds ?? initialBounds,
@@ -175,6 +179,27 @@
     });
   }
 
+  /** @returns How a request ended that failed here lately. */
+  findFailure(id: string): LogFields | undefined {
+    return this.#recent.find(id);
+  }
+
+  /** @returns What an operator may want to know of this instance, as JSON. */
+  readStatus(): LogFields {
+    const services = [...(this.#catalog?.services.keys() ?? [])];
+    return {
+      configVersion: this.version,
+      routes: this.#catalog?.routes ?? [],
+      fleetSize: this.#fleetSize,
+      callsInFlight: this.#callers.active,
+      services: services.map((service) => ({
+        service,
+        retryRoom: this.#budget.hasRoom([service]),
+        endpoints: this.#registry.list(service).map((endpoint) => endpoint.readStatus()),
+      })),
+    };
+  }
+
   /** See {@link Registry.apply}. */
   applyRegistrations(registrations: readonly Registration[], keepMissing: boolean): void {
     this.#registry.apply(registrations, keepMissing);
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Store } from '@dotterelpass/store';
 import { countDroppedLines } from '@dotterelpass/telemetry';
-import type { Log, Metrics } from '@dotterelpass/telemetry';
+import type { Log, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, Incarnation, InstanceId, Random } from '@dotterelpass/values';
 import type { Dialect } from './dialect.js';
 import { Feed } from './feed.js';
@@ -11,6 +11,7 @@
 import { Fleet } from './fleet.js';
 import { Gateway } from './gateway.js';
 import type { FleetLimits } from './gateway.js';
+import { OperatorServer } from './operator.js';
 import { Relay } from './relay.js';
 
 /** What one instance is made of. */
@@ -23,6 +24,8 @@
   readonly callerAddress: string;
   readonly readinessAddress: string;
   readonly peerPort: number;
+  /** Port for operators' queries and metrics; undefined for none. */
+  readonly operatorPort: number | undefined;
   /** Time between the order to stop and the end, in milliseconds. */
   readonly graceMs: number;
   readonly limits: FleetLimits;
@@ -44,8 +47,6 @@
 /** Part of the grace period after which calls in flight are cut. */
 const cutShare = 0.92;
 
-const metricsPath = '/metrics';
-
 /** One instance: callers, readiness and metrics, and what it knows. */
 export class Instance {
   readonly #options: InstanceOptions;
@@ -60,6 +61,8 @@
 
   readonly #readiness: Server;
 
+  readonly #operator: OperatorServer;
+
   #stopping = false;
 
   #wasReady = false;
@@ -100,13 +103,14 @@
       onBan: (fingerprint) => gateway.ban(fingerprint),
       onPeers: (peerKey, addresses) => this.#relay.setPeers(peerKey, addresses),
     });
-    this.#readiness = createServer((request, response) => {
-      if (request.url === metricsPath) {
-        void metrics.readText().then((text) => response.end(text));
-        return;
-      }
+    this.#readiness = createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503).end();
     });
+    this.#operator = new OperatorServer({
+      metrics,
+      readStatus: () => this.#readStatus(),
+      findRequest: (id) => gateway.findFailure(id),
+    });
     metrics.addGauge('calls_in_flight', 'Calls without an answer.', () => gateway.callers.active);
     metrics.addGauge('configuration_version', 'Version in force.', () => gateway.version);
     metrics.addGauge('endpoints', 'Registered endpoints.', () => gateway.endpoints);
@@ -130,18 +134,20 @@
 
   /** Starts to serve. */
   async start(): Promise<void> {
-    const { callerAddress, readinessAddress, instance, incarnation, log } = this.#options;
+    const { callerAddress, readinessAddress, operatorPort } = this.#options;
+    const { instance, incarnation, log } = this.#options;
     this.#feed.run();
     void this.#fleet.run();
     void this.#relay.run();
     const [ip, port] = split(callerAddress);
     await this.#gateway.callers.open(ip, port);
+    const [readinessIp, readinessPort] = split(readinessAddress);
     await new Promise<void>((resolve, reject) => {
-      const [readinessIp, readinessPort] = split(readinessAddress);
       this.#readiness.once('error', reject);
       this.#readiness.listen(readinessPort, readinessIp, resolve);
     });
-    log.info('started', { instance, incarnation, callerAddress, readinessAddress });
+    if (operatorPort !== undefined) await this.#operator.open(readinessIp, operatorPort);
+    log.info('started', { instance, incarnation, callerAddress, readinessAddress, operatorPort });
   }
 
   /** @param limits - Limits of the fleet from now on. */
@@ -165,8 +171,23 @@
     this.#gateway.close();
     store.close();
     this.#readiness.close();
+    this.#operator.close();
     log.info('stopped');
   }
+
+  #readStatus(): LogFields {
+    const { instance, incarnation, clock } = this.#options;
+    const { lostSince, knowledge } = this.#feed;
+    return {
+      instance,
+      incarnation,
+      isReady: this.isReady,
+      isStopping: this.#stopping,
+      storeLostMs: lostSince === undefined ? 0 : Math.round(clock.now() - lostSince),
+      registrationsAgeMs: Math.round(knowledge.listingAgeMs),
+      ...this.#gateway.readStatus(),
+    };
+  }
 }
 
 function split(address: string): [string, number] {
--- /dev/null
+++ b/packages/gateway/src/operator.ts
@@ -0,0 +1,68 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { LogFields, Metrics } from '@dotterelpass/telemetry';
+
+const metricsPath = '/metrics';
+const statusPath = '/v1/status';
+const requestPrefix = '/v1/requests/';
+
+export interface OperatorOptions {
+  readonly metrics: Metrics;
+  readStatus(): LogFields;
+  findRequest(id: string): LogFields | undefined;
+}
+
+/** Answers operators' queries: metrics, what this instance knows, and why a request failed. */
+export class OperatorServer {
+  readonly #options: OperatorOptions;
+
+  readonly #server: Server;
+
+  constructor(options: OperatorOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) => {
+      void this.#answer(request, response);
+    });
+  }
+
+  /** @param port - Port to listen on, 0 for any free one. */
+  async open(ip: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, ip, resolve);
+    });
+  }
+
+  close(): void {
+    this.#server.close();
+  }
+
+  async #answer({ url = '', method }: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (method !== 'GET') {
+      sendJson(response, 405, { error: `method ${method} is not supported: all queries are GET` });
+    } else if (url === metricsPath) {
+      response.end(await this.#options.metrics.readText());
+    } else if (url === statusPath) sendJson(response, 200, this.#options.readStatus());
+    else if (url.startsWith(requestPrefix)) this.#sendRequest(url, response);
+    else {
+      const paths = [metricsPath, statusPath, `${requestPrefix}ID`].join(', ');
+      sendJson(response, 404, { error: `no query ${url}; there are ${paths}` });
+    }
+  }
+
+  #sendRequest(url: string, response: ServerResponse): void {
+    const id = url.slice(requestPrefix.length);
+    const found = this.#options.findRequest(id);
+    if (found) sendJson(response, 200, found);
+    else sendJson(response, 404, { error: `request ${id} did not fail on this instance lately` });
+  }
+}
+
+function sendJson(response: ServerResponse, status: number, value: unknown): void {
+  const body = JSON.stringify(value);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
