--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -2,7 +2,7 @@
 import { isOrderlyEnded } from '@dotterelpass/proxy';
 
 /** Answers up to this size are read whole before the caller gets the first byte. */
-export const wholeBytes = 1024 * 1024;
+const wholeBytes = 1024 * 1024;
 
 /** What has come of reading the body of an answer. */
 export type BodyReading =
@@ -53,7 +53,7 @@
 }
 
 /** Whether an answer says where its body ends, other than by the end of its connection. */
-export function hasFraming({ headers, statusCode = 0 }: IncomingMessage): boolean {
+function hasFraming({ headers, statusCode = 0 }: IncomingMessage): boolean {
   if (statusCode === 204 || statusCode === 304) return true;
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -1,71 +1,20 @@
-import type { IncomingMessage } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Departure, copyEndToEnd } from '@dotterelpass/proxy';
-import type { AttemptFailure, Body, IncomingCall } from '@dotterelpass/proxy';
+import { copyEndToEnd } from '@dotterelpass/proxy';
+import type { AttemptFailure, Departure } from '@dotterelpass/proxy';
 import type { RetryBudget } from '@dotterelpass/retries';
 import type { Metrics } from '@dotterelpass/telemetry';
-import type { ClassName, EndpointId, RequestId, ServiceId, Verdict } from '@dotterelpass/values';
+import type { Verdict } from '@dotterelpass/values';
 import { match } from 'ts-pattern';
 import { readAnswer } from './answer.js';
-import type { Route } from './catalog.js';
+import { toCancelled, toWorse } from './call.js';
+import type { Answer, AttemptRecord, Call, CallEnd, Failed } from './call.js';
 import type { Dialect } from './dialect.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
+import { isSlowerThan, pickEnd } from './hedge.js';
 import { hasRoom } from './picker.js';
 import type { Pick, Picker } from './picker.js';
 import type { WorkTimes } from './worktimes.js';
 
-/** A call on its way. */
-export interface Call {
-  readonly incoming: IncomingCall;
-  /** The caller's own id of the call, which answers repeat. */
-  readonly id: RequestId | undefined;
-  readonly method: string;
-  readonly route: Route;
-  readonly service: ServiceId;
-  readonly className: ClassName;
-  /** Whether the service also has calls that are less urgent. */
-  readonly isUrgent: boolean;
-  readonly body: Body;
-  /** Monotonic time up to which an answer is worth most, in milliseconds. */
-  readonly targetAt: number;
-  /** Monotonic time at which the caller must have its answer, in milliseconds. */
-  readonly deadlineAt: number;
-  /** SHA-256 of method, path, query and body. */
-  readonly fingerprint: string;
-}
-
-/** One attempt, for the log. */
-export interface AttemptRecord {
-  readonly endpoint: EndpointId;
-  readonly expectedMs: number;
-  readonly reportAgeMs: number;
-  readonly load: number;
-  outcome: string;
-  ms: number;
-}
-
-/** How the attempts of a call ended. */
-export type CallEnd =
-  | {
-      readonly kind: 'answer';
-      readonly answer: IncomingMessage;
-      /** Undefined when the body is too large to be read ahead. */
-      readonly bytes: Buffer | undefined;
-      readonly isSuccess: boolean;
-      release(ending: AttemptEnding): void;
-    }
-  | {
-      readonly kind: 'failed';
-      readonly verdict: Verdict;
-      readonly reason:
-        'no-endpoint' | 'overload' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
-      readonly message: string;
-    };
-
-type Answer = Extract<CallEnd, { kind: 'answer' }>;
-
-type Failed = Extract<CallEnd, { kind: 'failed' }>;
-
 /** Attempts that never reached an endpoint and so do not count for the route's limit. */
 const maxUnreached = 4;
 
@@ -322,33 +271,6 @@
   }
 }
 
-interface Contestant {
-  readonly end: Promise<CallEnd>;
-  readonly cancel: Departure;
-}
-
-/** Takes the first good answer and cancels the other attempt; a failure waits for the other. */
-async function pickEnd(first: Contestant, second: Contestant): Promise<CallEnd> {
-  const winner = await Promise.race(
-    [first, second].map(async (contestant) => ({ contestant, end: await contestant.end })),
-  );
-  const other = winner.contestant === first ? second : first;
-  if (winner.end.kind === 'answer' && winner.end.isSuccess) {
-    other.cancel.cancel();
-    void other.end.then((end) => {
-      if (end.kind === 'answer') end.release('cancelled');
-    });
-    return winner.end;
-  }
-  const rest = await other.end;
-  if (rest.kind === 'answer') {
-    if (winner.end.kind === 'answer') winner.end.release('failed');
-    return rest;
-  }
-  if (winner.end.kind === 'answer') return winner.end;
-  return { ...rest, verdict: toWorse(winner.end.verdict, rest.verdict) };
-}
-
 /** Attempts that reached an endpoint, as far as is known. */
 function countSent(records: readonly AttemptRecord[]): number {
   return records.filter(({ outcome }) => outcome !== 'unreachable').length;
@@ -382,26 +304,6 @@
   return performance.now() + expectedMs <= call.targetAt || hasRoom(endpoint);
 }
 
-async function isSlowerThan(end: Promise<unknown>, ms: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(() => resolve(true), ms);
-    void end.then(() => {
-      clearTimeout(timer);
-      resolve(false);
-    });
-  });
-}
-
-function toCancelled(): Failed {
-  return { kind: 'failed', verdict: 'may-have-run', reason: 'cancelled', message: 'caller left' };
-}
-
-/** A call is `not-run` only when each of its attempts was. */
-function toWorse(a: Verdict, b: Verdict): Verdict {
-  if (a === 'not-run') return b;
-  return b === 'not-run' ? a : 'may-have-run';
-}
-
 /** @returns The idle timeout that a `Keep-Alive` header states, in milliseconds. */
 function readIdleTimeout(header: string | string[] | undefined): number | undefined {
   const seconds = /(?:^|[\s,;])timeout=(\d{1,6})/i.exec(String(header ?? ''))?.[1];
--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -78,6 +78,8 @@
 
   #answeredAt = -Infinity;
 
+  readonly #startedAt: number;
+
   /** Until when missing registrations are kept. */
   #keepUntil = -Infinity;
 
@@ -87,6 +89,7 @@
 
   constructor(options: FeedOptions) {
     this.#options = options;
+    this.#startedAt = options.clock.now();
   }
 
   /** Since when the store fails, in monotonic milliseconds; undefined while it answers. */
@@ -126,8 +129,8 @@
   receive({ catalog, listing, listingAgeMs }: Knowledge, source: string): void {
     if (catalog) this.#applyCatalog(catalog, source);
     const known = this.#listing?.revision ?? 0;
-    if (!listing || listing.revision < known || listingAgeMs > listMs * 2) return;
-    this.#applyListing(listing, true);
+    if (!listing || listing.revision <= known) return;
+    this.#applyListing(listing, true, this.#options.clock.now() - listingAgeMs);
   }
 
   async #runCatalog(): Promise<void> {
@@ -173,7 +176,7 @@
         continue;
       }
       backoff.reset();
-      this.#applyListing(listing.value, clock.now() < this.#keepUntil);
+      this.#applyListing(listing.value, clock.now() < this.#keepUntil, clock.now());
       await sleep(Math.max(0, listMs - (clock.now() - startedAt)));
     }
   }
@@ -186,6 +189,8 @@
     const { clock, log, metrics } = this.#options;
     const now = clock.now();
     if (result.isErr()) {
+      // The stop of this instance ends the calls that wait.
+      if (this.#stopped) return false;
       metrics.recordEvent('store-failed');
       const { kind, message } = result.error;
       log.info('store-failed', { what, kind, reason: message });
@@ -197,7 +202,7 @@
     }
     if (this.#lostSince !== undefined) {
       // The store may have been away since its last answer, before a call failed.
-      const lostMs = now - this.#answeredAt;
+      const lostMs = now - Math.max(this.#answeredAt, this.#startedAt);
       this.#lostSince = undefined;
       if (lostMs > shortOutageMs) this.#keepUntil = now + lapseMs;
       log.info('store-regained', { what, lostMs: Math.round(lostMs) });
@@ -218,10 +223,11 @@
     target.applyCatalog(catalog.value, source);
   }
 
-  #applyListing(listing: StoreListing, keepMissing: boolean): void {
-    const { schema, target, clock, log } = this.#options;
+  /** @param listedAt - When an instance read the list from the store, monotonic milliseconds. */
+  #applyListing(listing: StoreListing, keepMissing: boolean, listedAt: number): void {
+    const { schema, target, log } = this.#options;
     this.#listing = listing;
-    this.#listedAt = clock.now();
+    this.#listedAt = listedAt;
     const bad = new Map<string, number>();
     const registrations = listing.items.flatMap(({ key, value, revision }) => {
       const read = schema.readRegistration(key, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import type { Log, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
 import { Attempts } from './attempts.js';
-import type { Call } from './attempts.js';
+import type { Call } from './call.js';
 import { CallPath } from './calls.js';
 import type { CallerBounds, Catalog, Registration } from './catalog.js';
 import { CrashTable } from './crashes.js';
@@ -68,6 +68,8 @@
 
   readonly #budget: RetryBudget;
 
+  readonly #prober: Prober;
+
   readonly #crashes: CrashTable;
 
   readonly #patience = new PatienceTable();
@@ -100,7 +102,7 @@
       log,
       countConnections: (service) => this.#countConnections(service),
     });
-    const prober = new Prober({
+    this.#prober = new Prober({
       dialect,
       metrics,
       perSecond: () => (this.#limits.probesPerSecond * limitShare) / this.#fleetSize,
@@ -111,7 +113,7 @@
       random,
       work,
       list: (service) => this.#registry.list(service),
-      probe: (endpoint) => prober.probe(endpoint),
+      probe: (endpoint) => this.#prober.probe(endpoint),
     });
     const attempts = new Attempts({
       dialect,
@@ -203,6 +205,7 @@
   /** See {@link Registry.apply}. */
   applyRegistrations(registrations: readonly Registration[], keepMissing: boolean): void {
     this.#registry.apply(registrations, keepMissing);
+    this.#prober.retain((id) => this.#registry.find(id) !== undefined);
   }
 
   /** @param size - Instances that share the fleet's limits, this one included. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -99,6 +99,7 @@
       const answer = await hub.request(peer, question, body, answerMs);
       if (answer.isOk()) {
         const knowledge = decode(answer.value, feed.knowledge);
+        if (!knowledge.listing && !knowledge.catalog) continue;
         log.info('knowledge-from-peer', {
           peer,
           listingRevision: knowledge.listing?.revision,
@@ -120,15 +121,16 @@
 ): Body {
   return {
     catalog: catalog && catalog.revision > catalogRevision ? { ...catalog } : null,
-    listing: listing
-      ? {
-          revision: listing.revision,
-          keys: listing.items.map(({ key }) => key),
-          items: listing.items
-            .filter((item) => item.revision > revision)
-            .map((item) => ({ ...item })),
-        }
-      : null,
+    listing:
+      listing && listing.revision > revision
+        ? {
+            revision: listing.revision,
+            keys: listing.items.map(({ key }) => key),
+            items: listing.items
+              .filter((item) => item.revision > revision)
+              .map((item) => ({ ...item })),
+          }
+        : null,
     listingAgeMs,
   };
 }
