--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -44,13 +44,13 @@
 
 /** Bounds of the wait after a failed call, in milliseconds. */
 const minRetryMs = 100;
-const maxRetryMs = 1000;
+const maxRetryMs = 400;
 
 /**
  * Time after the store's return in which registrations that lapsed meanwhile may come back, in
  * milliseconds. One that is missing after that has gone.
  */
-const lapseMs = 2000;
+const lapseMs = 1800;
 
 /** Outages shorter than this make no registration lapse, in milliseconds. */
 const shortOutageMs = 1700;
@@ -177,10 +177,18 @@
       }
       backoff.reset();
       this.#applyListing(listing.value, clock.now() < this.#keepUntil, clock.now());
-      await sleep(Math.max(0, listMs - (clock.now() - startedAt)));
+      await sleep(this.#findListWait(startedAt));
     }
   }
 
+  /** The list is read at the moment from which missing registrations have gone, too. */
+  #findListWait(startedAt: number): number {
+    const now = this.#options.clock.now();
+    const nextAt = startedAt + listMs;
+    const isKeeping = this.#keepUntil > now && this.#keepUntil < nextAt;
+    return Math.max(0, (isKeeping ? this.#keepUntil : nextAt) - now);
+  }
+
   /** Notes whether the store answers, and tells when that changes. */
   #record<T>(
     what: string,
--- a/packages/gateway/test/feed.test.ts
+++ b/packages/gateway/test/feed.test.ts
@@ -1,8 +1,11 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Store } from '@dotterelpass/store';
+import type { PlatformError, StoreListing } from '@dotterelpass/store';
 import { Metrics, openLog, setLogDestination } from '@dotterelpass/telemetry';
-import { ManualClock, makeRandom } from '@dotterelpass/values';
-import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
+import { ManualClock, makeRandom, systemClock } from '@dotterelpass/values';
+import type { Clock, EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { Catalog, Registration } from '../src/catalog.js';
 import { Feed } from '../src/feed.js';
@@ -11,11 +14,11 @@
 class LostStore extends Store {
   readonly #error = { kind: 'unreachable', message: 'down', applied: 'no' } as const;
 
-  override async read() {
+  override async read(): ReturnType<Store['read']> {
     return err(this.#error);
   }
 
-  override async list() {
+  override async list(): Promise<Result<StoreListing, PlatformError>> {
     return err(this.#error);
   }
 
@@ -34,6 +37,25 @@
   override close(): void {}
 }
 
+/** A store whose list can be read only after some time; nothing else is answered. */
+class LateStore extends LostStore {
+  readonly #upAt: number;
+
+  constructor(upAt: number) {
+    super();
+    this.#upAt = upAt;
+  }
+
+  override async read(): ReturnType<Store['read']> {
+    return new Promise<never>(() => {});
+  }
+
+  override async list(): Promise<Result<StoreListing, PlatformError>> {
+    if (performance.now() < this.#upAt) return super.list();
+    return ok({ items: [], revision: 9 });
+  }
+}
+
 const makeRegistration = (id: string): Registration => ({
   id: id as EndpointId,
   service: 'a' as ServiceId,
@@ -50,9 +72,9 @@
 const clock = new ManualClock();
 let applied: { readonly ids: readonly string[]; readonly keepMissing: boolean }[];
 
-function makeFeed(): Feed {
+function makeFeed(store: Store = new LostStore(), time: Clock = clock): Feed {
   return new Feed({
-    store: new LostStore(),
+    store,
     schema: {
       catalogKey: 'config',
       registrationPrefix: 'servers/',
@@ -66,7 +88,7 @@
         applied.push({ ids: list.map(({ id }) => id), keepMissing });
       },
     },
-    clock,
+    clock: time,
     random: makeRandom(1),
     log: openLog('test'),
     metrics: new Metrics(),
@@ -118,3 +140,24 @@
     expect(applied).toEqual([{ ids: [], keepMissing: true }]);
   });
 });
+
+describe('registrations that are missing after an outage', () => {
+  /**
+   * Guards against calls to an endpoint that left during the outage: an instance counts as up to
+   * date 3 s after it, of which the first call that succeeds may use one.
+   */
+  it('are dropped within 2 s of the first answer', async () => {
+    const feed = makeFeed(new LateStore(performance.now() + 2000), systemClock);
+    feed.run();
+    const waitFor = async (check: () => boolean) => {
+      while (!check()) await sleep(5);
+      return performance.now();
+    };
+    const answeredAt = await waitFor(() => applied.length > 0);
+    expect(applied[0]?.keepMissing).toBe(true);
+    const droppedAt = await waitFor(() => applied.some(({ keepMissing }) => !keepMissing));
+    feed.stop();
+    expect(droppedAt - answeredAt).toBeGreaterThan(1500);
+    expect(droppedAt - answeredAt).toBeLessThan(2000);
+  });
+});
