--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -186,7 +186,8 @@
     const now = this.#options.clock.now();
     const nextAt = startedAt + listMs;
     const isKeeping = this.#keepUntil > now && this.#keepUntil < nextAt;
-    return Math.max(0, (isKeeping ? this.#keepUntil : nextAt) - now);
+    // Timers drop fractions of a millisecond and would end a little too early.
+    return Math.max(0, Math.ceil((isKeeping ? this.#keepUntil : nextAt) - now) + 1);
   }
 
   /** Notes whether the store answers, and tells when that changes. */
