Estimate calls by route, and take an endpoint's speed as that of the whole call

Cause: on the grown sites a fifth of the answers came late although slots were free. In a log of reports and attempts, calls that began on an endpoint with a reported slowdown of 4 took 4 times their usual work in the median (seat-book 1437 ms against 390), so an endpoint runs a call to its end at the speed that it had at the start. The estimate took the slowdown to last 150 ms only, shared one average between routes with 2 ms and 380 ms of work, and hedged at 2.5 times the expected time, after the target latency.

Now work is averaged by route and starts from the target latency, a slowdown counts in full, a late call waits a tenth of its target for a faster endpoint, and a hedge is sent while the second attempt can still be in time, only where there is room.

Ruled out: queues (load 0 at half of the late calls), time in the gateway (8 ms at p90), few endpoints to ask (the slow picks had fast ones elsewhere).

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -10,7 +10,7 @@
 import type { Answer, AttemptRecord, Call, CallEnd, Failed } from './call.js';
 import type { Dialect } from './dialect.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
-import { isSlowerThan, pickEnd } from './hedge.js';
+import { findHedgeMs, isSlowerThan, pickEnd } from './hedge.js';
 import { hasRoom } from './picker.js';
 import type { Pick, Picker } from './picker.js';
 import type { WorkTimes } from './worktimes.js';
@@ -24,10 +24,6 @@
 /** Share of the target latency for which a call waits for room before it is refused. */
 const holdShare = 0.1;
 
-/** Time after which an idempotent call is sent to a second endpoint, in shares. */
-const hedgeExpectedFactor = 2.5;
-const hedgeTargetShare = 0.5;
-
 export interface AttemptsOptions {
   readonly dialect: Dialect;
   readonly picker: Picker;
@@ -96,18 +92,18 @@
     records: readonly AttemptRecord[],
   ): Promise<Pick | 'overload' | undefined> {
     const first = await this.#pick(call, records);
-    if (!first || isWorthwhile(call, first)) return first;
+    if (!first || isInTime(call, first)) return first;
+    // A slow endpoint keeps a call slow to its end, and may be fast again soon.
     await sleep(call.route.targetLatencyMs * holdShare);
     const second = await this.#pick(call, records);
-    if (!second || isWorthwhile(call, second)) return second;
+    if (!second || isInTime(call, second) || hasRoom(second.endpoint)) return second;
     return 'overload';
   }
 
   async #pick(call: Call, records: readonly AttemptRecord[]): Promise<Pick | undefined> {
     return this.#options.picker.pick({
       service: call.service,
-      className: call.className,
-      targetLatencyMs: call.route.targetLatencyMs,
+      route: call.route,
       tried: records.map(({ endpoint }) => endpoint),
     });
   }
@@ -123,7 +119,7 @@
     if (verdict !== 'not-run' && call.route.repeat !== 'idempotent') return false;
     if (call.body.kind === 'stream') return false;
     const leftMs = call.deadlineAt - performance.now();
-    if (leftMs < minLeftShare * work.findMs(call.className)) return false;
+    if (leftMs < minLeftShare * work.findMs(call.route)) return false;
     return budget.hasRoom([call.service]);
   }
 
@@ -139,14 +135,11 @@
     const cancelFirst = incoming.gone.makeChild();
     const first = this.#send(call, pick, records, cancelFirst);
     if (!canHedge) return first;
-    const afterMs = Math.max(
-      hedgeExpectedFactor * pick.expectedMs,
-      hedgeTargetShare * route.targetLatencyMs,
-    );
+    const afterMs = findHedgeMs(this.#options.work.findMs(route), route.targetLatencyMs);
     if (!(await isSlowerThan(first, afterMs))) return first;
     if (!mayAttempt(call, records) || !this.#mayRetry(call, 'may-have-run')) return first;
     const other = await this.#pick(call, records);
-    if (!other || incoming.gone.aborted) return first;
+    if (!other || !hasRoom(other.endpoint) || incoming.gone.aborted) return first;
     this.#recordExtra(call, 'hedge');
     const cancelSecond = incoming.gone.makeChild();
     const second = this.#send(call, other, records, cancelSecond);
@@ -155,7 +148,7 @@
 
   async #send(
     call: Call,
-    { endpoint, expectedMs, reportAgeMs }: Pick,
+    { endpoint, expectedMs, reportAgeMs, slowdown }: Pick,
     records: AttemptRecord[],
     departure: Departure,
   ): Promise<CallEnd> {
@@ -167,6 +160,7 @@
       expectedMs: Math.round(expectedMs),
       reportAgeMs: Math.round(reportAgeMs),
       load: endpoint.load,
+      slowdown,
       outcome: 'sent',
       ms: 0,
     };
@@ -225,8 +219,8 @@
     const idle = readIdleTimeout(headers['keep-alive']);
     if (idle !== undefined) endpoint.setIdleTimeout(idle);
     const isFailed = head.status >= 500;
-    if (!isFailed) {
-      work.record(call.className, performance.now() - startedAt, endpoint.report?.slowdown ?? 1);
+    if (!isFailed && record.load < endpoint.registration.slots) {
+      work.record(call.route, performance.now() - startedAt, slowdown);
     }
     if (report) {
       endpoint.recordReport(report, 1);
@@ -299,9 +293,9 @@
       };
 }
 
-function isWorthwhile(call: Call, { endpoint, expectedMs }: Pick): boolean {
+function isInTime(call: Call, { endpoint, expectedMs }: Pick): boolean {
   if (call.isUrgent && endpoint.load <= endpoint.registration.slots) return true;
-  return performance.now() + expectedMs <= call.targetAt || hasRoom(endpoint);
+  return performance.now() + expectedMs <= call.targetAt;
 }
 
 /** @returns The idle timeout that a `Keep-Alive` header states, in milliseconds. */
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -30,6 +30,8 @@
   readonly expectedMs: number;
   readonly reportAgeMs: number;
   readonly load: number;
+  /** How many times longer work took there than usual, by its last report. */
+  readonly slowdown: number;
   outcome: string;
   ms: number;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -74,6 +74,8 @@
 
   readonly #patience = new PatienceTable();
 
+  readonly #work = new WorkTimes();
+
   readonly #recent = new RecentFailures();
 
   readonly #callers: CallerServer;
@@ -90,7 +92,6 @@
     this.#fleetSize = Math.max(1, expectedInstances);
     const { clock, random, log, metrics, dialect, limits } = options;
     this.#limits = limits;
-    const work = new WorkTimes();
     this.#crashes = new CrashTable(clock, log);
     this.#budget = new RetryBudget(clock, {
       share: limits.retryShare * limitShare,
@@ -111,14 +112,14 @@
     const picker = new Picker({
       failureDomain: options.failureDomain,
       random,
-      work,
+      work: this.#work,
       list: (service) => this.#registry.list(service),
       probe: (endpoint) => this.#prober.probe(endpoint),
     });
     const attempts = new Attempts({
       dialect,
       picker,
-      work,
+      work: this.#work,
       budget: this.#budget,
       metrics,
       onReset: (call, endpoint) => {
@@ -170,7 +171,9 @@
     if (!this.#routes.apply(catalog)) return;
     this.#catalog = catalog;
     this.#callers.setBounds(catalog.bounds);
-    this.#patience.retain(new Set(catalog.routes.map(({ name }) => name)));
+    const names = new Set(catalog.routes.map(({ name }) => name));
+    this.#patience.retain(names);
+    this.#work.retain(names);
     const { version, routes, services } = catalog;
     this.#options.log.info('configuration-in-force', {
       version,
--- a/packages/gateway/src/hedge.ts
+++ b/packages/gateway/src/hedge.ts
@@ -2,6 +2,13 @@
 import { toWorse } from './call.js';
 import type { CallEnd } from './call.js';
 
+/** Least and longest time before a second attempt, in times of a call's usual work. */
+const minHedgeFactor = 1.3;
+const maxHedgeFactor = 2.5;
+
+/** Time that a second attempt is given to be in time, in times of a call's usual work. */
+const hedgedWorkFactor = 1.35;
+
 /** One of two attempts that run at the same time. */
 export interface Contestant {
   readonly end: Promise<CallEnd>;
@@ -40,3 +47,16 @@
     });
   });
 }
+
+/**
+ * Finds when an idempotent call goes to a second endpoint: as late as that one can still answer
+ * in time, but not before most first ones have answered.
+ *
+ * @param usualMs - Time that calls of the route usually need, in milliseconds.
+ * @param targetMs - Target latency, in milliseconds.
+ * @returns Milliseconds from the first attempt.
+ */
+export function findHedgeMs(usualMs: number, targetMs: number): number {
+  const latestMs = targetMs - hedgedWorkFactor * usualMs;
+  return Math.max(minHedgeFactor * usualMs, Math.min(maxHedgeFactor * usualMs, latestMs));
+}
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -1,4 +1,5 @@
-import type { ClassName, EndpointId, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
+import type { EndpointId, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
+import type { Route } from './catalog.js';
 import type { Endpoint } from './endpoint.js';
 import type { WorkTimes } from './worktimes.js';
 
@@ -39,8 +40,7 @@
 /** What a call needs of an endpoint. */
 export interface Need {
   readonly service: ServiceId;
-  readonly className: ClassName;
-  readonly targetLatencyMs: number;
+  readonly route: Route;
   /** Endpoints that the call has been on. */
   readonly tried: readonly EndpointId[];
 }
@@ -54,6 +54,8 @@
   readonly rankMs: number;
   /** Age of the load report that was used, in milliseconds; infinite when there is none. */
   readonly reportAgeMs: number;
+  /** How many times longer work takes there than usual. */
+  readonly slowdown: number;
 }
 
 export interface PickerOptions {
@@ -90,7 +92,7 @@
     const need: Ranking = { ...call, leastPenalty };
     const near = usable.filter(({ registration }) => registration.failureDomain === failureDomain);
     const bestNear = await this.#pickOf(near, need);
-    if (bestNear && bestNear.rankMs <= nearShare * need.targetLatencyMs) return bestNear;
+    if (bestNear && bestNear.rankMs <= nearShare * call.route.targetLatencyMs) return bestNear;
     const far = usable.filter(({ registration }) => registration.failureDomain !== failureDomain);
     const bestFar = await this.#pickOf(far, need);
     if (!bestNear) return bestFar ?? this.#pickAny(usable, need);
@@ -147,17 +149,18 @@
     return best;
   }
 
-  #rank(endpoint: Endpoint, { service, className, leastPenalty }: Ranking): Pick {
+  #rank(endpoint: Endpoint, { service, route, leastPenalty }: Ranking): Pick {
     const { work } = this.#options;
     const { registration, report, load, isWarm, reportAgeMs } = endpoint;
     const slots = Math.max(1, registration.slots);
-    const usualMs = work.findMs(className) * (isWarm ? 1 : coldFactor);
+    const usualMs = work.findMs(route) * (isWarm ? 1 : coldFactor);
     const busy = hasRoom(endpoint) ? 1 : busyFactor;
     const waits = Math.max(0, load + 1 - slots) / slots;
     const slowdown = report?.slowdown ?? work.findSlowdown(service);
-    const expectedMs = work.estimate(service, usualMs * busy * (1 + waits), slowdown);
+    // An endpoint runs a call to its end at the speed that it has when the call begins.
+    const expectedMs = usualMs * busy * (1 + waits) * slowdown;
     const rankMs = (expectedMs * findPenalty(endpoint)) / leastPenalty;
-    return { endpoint, expectedMs, rankMs, reportAgeMs };
+    return { endpoint, expectedMs, rankMs, reportAgeMs, slowdown };
   }
 }
 
--- a/packages/gateway/src/worktimes.ts
+++ b/packages/gateway/src/worktimes.ts
@@ -1,9 +1,13 @@
-import type { ClassName, ServiceId } from '@dotterelpass/values';
+import type { ServiceId } from '@dotterelpass/values';
+import type { Route, RouteName } from './catalog.js';
 
-/** Time that a class is taken to need before its first answer, in milliseconds. */
-const firstGuessMs = 50;
+/** Time that a call needs before the first answer on its route, as a share of its target latency. */
+const firstGuessShare = 0.3;
 
-/** Weight of one answer in the average. */
+/** Answers as which the first guess counts. */
+const firstGuessAnswers = 4;
+
+/** Least weight of one answer in the average. */
 const workWeight = 0.03;
 
 /** Weight of one load report in the average of a service. */
@@ -12,26 +16,33 @@
 /** One answer counts for at most this many times the average: a few run very much longer. */
 const maxRatio = 3;
 
-/** Time for which the slowdown that an endpoint reports may be expected to last, in milliseconds. */
-const lastingMs = 150;
+interface Average {
+  readonly ms: number;
+  readonly answers: number;
+}
 
-/** How long calls of a class take, and how much longer at the speed of an endpoint. */
+/**
+ * How long calls of a route take on an endpoint at its usual speed. Routes are kept apart: calls
+ * of two routes of the same kind may differ a hundredfold.
+ */
 export class WorkTimes {
-  readonly #times = new Map<ClassName, number>();
+  readonly #times = new Map<RouteName, Average>();
 
   readonly #slowdowns = new Map<ServiceId, number>();
 
   /**
    * Records an answered call.
    *
-   * @param className - Its class.
+   * @param route - Its route.
    * @param ms - Time from sending the request to the end of the answer, in milliseconds.
-   * @param slowdown - How many times longer work took on the endpoint than usual.
+   * @param slowdown - How many times longer work took on the endpoint than usual when it began.
    */
-  record(className: ClassName, ms: number, slowdown: number): void {
-    const known = this.findMs(className);
+  record(route: Route, ms: number, slowdown: number): void {
+    const { answers } = this.#times.get(route.name) ?? { answers: firstGuessAnswers };
+    const known = this.findMs(route);
     const usual = Math.min(ms / Math.max(0.1, slowdown), known * maxRatio);
-    this.#times.set(className, known + workWeight * (usual - known));
+    const weight = Math.max(workWeight, 1 / (answers + 1));
+    this.#times.set(route.name, { ms: known + weight * (usual - known), answers: answers + 1 });
   }
 
   /** Records the slowdown that an endpoint of a service reports. */
@@ -40,9 +51,9 @@
     this.#slowdowns.set(service, known + slowdownWeight * (slowdown - known));
   }
 
-  /** @returns The average of a class at the usual speed, in milliseconds. */
-  findMs(className: ClassName): number {
-    return this.#times.get(className) ?? firstGuessMs;
+  /** @returns The average of a route at the usual speed, in milliseconds. */
+  findMs({ name, targetLatencyMs }: Pick<Route, 'name' | 'targetLatencyMs'>): number {
+    return this.#times.get(name)?.ms ?? firstGuessShare * targetLatencyMs;
   }
 
   /** @returns The average slowdown of a service's endpoints. */
@@ -50,18 +61,10 @@
     return this.#slowdowns.get(service) ?? 1;
   }
 
-  /**
-   * Estimates the time of some work on an endpoint. Its speed changes many times a second, so the
-   * present one counts for a while only, and the service's average after that.
-   *
-   * @param service - The service.
-   * @param usualMs - Time of the work at the usual speed, in milliseconds.
-   * @param slowdown - Slowdown that the endpoint has reported last.
-   * @returns Milliseconds.
-   */
-  estimate(service: ServiceId, usualMs: number, slowdown: number): number {
-    const atPresent = usualMs * slowdown;
-    if (atPresent <= lastingMs) return atPresent;
-    return lastingMs + (usualMs - lastingMs / slowdown) * this.findSlowdown(service);
+  /** Keeps only the routes that still exist. */
+  retain(names: ReadonlySet<RouteName>): void {
+    [...this.#times.keys()].forEach((name) => {
+      if (!names.has(name)) this.#times.delete(name);
+    });
   }
 }
