Share what is read from the store, and ask endpoints from one budget of probes

One instance reads the store for the fleet: in each failure domain the first by name tells the others, and the first of these reads for all. Each asks its source, which answers when it has news; registrations travel as changes without heartbeats. What is older than 1.5 s is read from the store as before, so a source that is lost, slow or cut off delays a change no more than the usual reading does. Ages count the time on the way, so that instances which tell each other an old list do not make it younger.

Cause of the late answers that were left: one in ten choices used a report older than 300 ms, which says nothing any more. The fleet's budget of probes was divided by instance and endpoint, so 20 instances could ask an endpoint every 560 ms only, while 2 of 42 allowed probes a second were sent. One budget for all endpoints of an instance replaces that; old reports fade to the average of the service, and a second group is asked near before any in other domains.

--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -1,10 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
 import { Backoff } from '@dotterelpass/store';
-import type { PlatformError, Store, StoreItem, StoreListing } from '@dotterelpass/store';
+import type { PlatformError, Store, StoreItem } from '@dotterelpass/store';
 import type { Log, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, Random } from '@dotterelpass/values';
 import type { Catalog, Registration } from './catalog.js';
+import { ChangeLog } from './changes.js';
+import type { Delta } from './changes.js';
 
 /** Where knowledge lies in the store, and how it is decoded. */
 export interface Schema {
@@ -20,7 +22,7 @@
 export interface FeedTarget {
   readonly version: number;
   applyCatalog(catalog: Catalog, source: string): void;
-  applyRegistrations(registrations: readonly Registration[], keepMissing: boolean): void;
+  applyRegistrations(registrations: readonly Registration[]): void;
 }
 
 export interface FeedOptions {
@@ -31,6 +33,8 @@
   readonly random: Random;
   readonly log: Log;
   readonly metrics: Metrics;
+  /** Called when there is something newer for other instances. */
+  onNews(): void;
 }
 
 /**
@@ -39,9 +43,15 @@
  */
 const watchMs = 2500;
 
-/** Time between readings of the registrations, in milliseconds. */
+/** Age at which the registrations are read from the store, in milliseconds. */
 const listMs = 1500;
 
+/** The same while other instances take them from here, which get them a little later. */
+const sharedListMs = 1200;
+
+/** Time for which an instance that was asked reads for others, in milliseconds. */
+const sharingMs = 3000;
+
 /** Bounds of the wait after a failed call, in milliseconds. */
 const minRetryMs = 100;
 const maxRetryMs = 400;
@@ -55,24 +65,44 @@
 /** Outages shorter than this make no registration lapse, in milliseconds. */
 const shortOutageMs = 1700;
 
-/** What another instance may be told: items as the store gave them. */
+/** Unreadable registrations that are remembered, so that each is logged once. */
+const maxBadKeys = 1000;
+
+/** What an instance tells another one. */
 export interface Knowledge {
+  /** The configuration, when the other one has an older one. */
   readonly catalog: StoreItem | undefined;
-  readonly listing: StoreListing | undefined;
-  /** Age of the listing, in milliseconds. */
-  readonly listingAgeMs: number;
+  /** Time since the configuration was known to be the newest, in milliseconds. */
+  readonly catalogAgeMs: number;
+  readonly registrations: Delta;
+  /** Age of the registrations, in milliseconds. */
+  readonly listedAgeMs: number;
 }
 
-/** Keeps the configuration and the endpoints as the store has them. */
+/**
+ * Keeps the configuration and the endpoints as the store has them. What another instance has read
+ * a moment ago is not read again.
+ */
 export class Feed {
   readonly #options: FeedOptions;
 
+  readonly #log: ChangeLog;
+
   #catalogItem: StoreItem | undefined;
 
-  #listing: StoreListing | undefined;
+  /** When the configuration was last known to be the newest. */
+  #catalogAt = -Infinity;
+
+  /** Whether a watch of the configuration waits. */
+  #isWatching = false;
+
+  /** Until when another instance watches the configuration for this one. */
+  #restUntil = -Infinity;
 
   #listedAt = -Infinity;
 
+  #sharedUntil = -Infinity;
+
   /** Since when calls to the store fail; undefined while they do not. */
   #lostSince: number | undefined;
 
@@ -83,13 +113,15 @@
   /** Until when missing registrations are kept. */
   #keepUntil = -Infinity;
 
-  #badItems = new Map<string, number>();
+  /** Keys of registrations of which it has been told that they cannot be read. */
+  readonly #badKeys = new Set<string>();
 
   #stopped = false;
 
   constructor(options: FeedOptions) {
     this.#options = options;
     this.#startedAt = options.clock.now();
+    this.#log = new ChangeLog((item) => this.#readRegistration(item));
   }
 
   /** Since when the store fails, in monotonic milliseconds; undefined while it answers. */
@@ -99,15 +131,22 @@
 
   /** Whether the registrations have been read once. */
   get isListed(): boolean {
-    return this.#listing !== undefined;
+    return this.#log.revision >= 0;
   }
 
-  get knowledge(): Knowledge {
-    return {
-      catalog: this.#catalogItem,
-      listing: this.#listing,
-      listingAgeMs: this.#options.clock.now() - this.#listedAt,
-    };
+  /** Age of the registrations, in milliseconds. */
+  get listedAgeMs(): number {
+    return this.#options.clock.now() - this.#listedAt;
+  }
+
+  /** Whether both are so new that there is no need to read them. */
+  get isFresh(): boolean {
+    return this.listedAgeMs < listMs && this.#options.clock.now() < this.#restUntil;
+  }
+
+  /** Revisions of what is known, for another instance to tell what is newer. */
+  get revisions(): { readonly registrations: number; readonly catalog: number } {
+    return { registrations: this.#log.revision, catalog: this.#catalogItem?.revision ?? 0 };
   }
 
   /** Starts to follow the store, until `stop`. */
@@ -120,34 +159,75 @@
     this.#stopped = true;
   }
 
+  /** Another instance depends on what this one reads: it reads more often for some time. */
+  share(): void {
+    this.#sharedUntil = this.#options.clock.now() + sharingMs;
+  }
+
   /**
-   * Takes what another instance knows, while the store does not answer this one.
+   * Tells another instance what it does not know.
+   *
+   * @param registrations - Revision of its registrations.
+   * @param catalog - Revision of its configuration.
+   */
+  tell(registrations: number, catalog: number): Knowledge {
+    const now = this.#options.clock.now();
+    const item = this.#catalogItem;
+    return {
+      catalog: item && item.revision > catalog ? item : undefined,
+      catalogAgeMs: now - this.#catalogAt,
+      registrations: this.#log.findSince(registrations),
+      listedAgeMs: this.listedAgeMs,
+    };
+  }
+
+  /**
+   * Takes what another instance knows.
    *
    * @param knowledge - What it knows.
    * @param source - The instance.
    */
-  receive({ catalog, listing, listingAgeMs }: Knowledge, source: string): void {
+  receive({ catalog, catalogAgeMs, registrations, listedAgeMs }: Knowledge, source: string): void {
+    const now = this.#options.clock.now();
     if (catalog) this.#applyCatalog(catalog, source);
-    const known = this.#listing?.revision ?? 0;
-    if (!listing || listing.revision <= known) return;
-    this.#applyListing(listing, true, this.#options.clock.now() - listingAgeMs);
+    this.#catalogAt = Math.max(this.#catalogAt, now - catalogAgeMs);
+    this.#restUntil = Math.max(this.#restUntil, now - catalogAgeMs + listMs);
+    const { revision, isWhole } = registrations;
+    if (revision < 0 || revision < this.#log.revision) return;
+    this.#log.merge(registrations);
+    this.#options.target.applyRegistrations(this.#log.registrations);
+    // A whole list does not tell what was removed, so it does not replace a reading of one's own.
+    if (!isWhole || this.#lostSince !== undefined) {
+      this.#listedAt = Math.max(this.#listedAt, now - listedAgeMs);
+      this.#answeredAt = Math.max(this.#answeredAt, this.#listedAt);
+    }
+    this.#options.onNews();
   }
 
   async #runCatalog(): Promise<void> {
-    const { store, schema, random, log } = this.#options;
+    const { store, schema, random, log, clock } = this.#options;
     const backoff = new Backoff(random, minRetryMs, maxRetryMs);
     let revision: number | undefined;
     while (!this.#stopped) {
+      const restMs = this.#restUntil - clock.now();
+      if (restMs > 0) {
+        revision = undefined;
+        await sleep(Math.ceil(restMs));
+        continue;
+      }
       if (revision === undefined) {
         const read = await store.read(schema.catalogKey);
         if (this.#record('configuration', read)) {
           if (read.value.item) this.#applyCatalog(read.value.item, 'store');
+          this.#catalogAt = clock.now();
           revision = read.value.revision;
           backoff.reset();
         } else await backoff.sleep();
         continue;
       }
+      this.#isWatching = true;
       const changes = await store.watch(schema.catalogKey, revision, watchMs);
+      this.#isWatching = false;
       if (!this.#record('configuration', changes)) {
         // The connection may have missed a change, so the whole is read again.
         revision = undefined;
@@ -161,6 +241,7 @@
       changes.value.items
         .filter(({ key }) => key === schema.catalogKey)
         .forEach((item) => this.#applyCatalog(item, 'store'));
+      this.#catalogAt = clock.now();
       revision = Math.max(revision, changes.value.revision);
     }
   }
@@ -169,6 +250,11 @@
     const { store, schema, random, clock } = this.#options;
     const backoff = new Backoff(random, minRetryMs, maxRetryMs);
     while (!this.#stopped) {
+      const waitMs = this.#findListWait();
+      if (waitMs > 0) {
+        await sleep(waitMs);
+        continue;
+      }
       const startedAt = clock.now();
       const listing = await store.list(schema.registrationPrefix);
       if (!this.#record('registrations', listing)) {
@@ -176,18 +262,23 @@
         continue;
       }
       backoff.reset();
-      this.#applyListing(listing.value, clock.now() < this.#keepUntil, clock.now());
-      await sleep(this.#findListWait(startedAt));
+      this.#listedAt = Math.max(this.#listedAt, startedAt);
+      // A store that answers this would have told the watch of a change.
+      if (this.#isWatching) this.#catalogAt = startedAt;
+      this.#log.replace(listing.value, clock.now() < this.#keepUntil);
+      this.#options.target.applyRegistrations(this.#log.registrations);
+      this.#options.onNews();
     }
   }
 
   /** The list is read at the moment from which missing registrations have gone, too. */
-  #findListWait(startedAt: number): number {
+  #findListWait(): number {
     const now = this.#options.clock.now();
-    const nextAt = startedAt + listMs;
-    const isKeeping = this.#keepUntil > now && this.#keepUntil < nextAt;
+    const nextAt = this.#listedAt + (now < this.#sharedUntil ? sharedListMs : listMs);
+    const isKeeping = this.#listedAt < this.#keepUntil && this.#keepUntil < nextAt;
+    const waitMs = (isKeeping ? this.#keepUntil : nextAt) - now;
     // Timers drop fractions of a millisecond and would end a little too early.
-    return Math.max(0, Math.ceil((isKeeping ? this.#keepUntil : nextAt) - now) + 1);
+    return waitMs > 0 ? Math.ceil(waitMs) + 1 : 0;
   }
 
   /** Notes whether the store answers, and tells when that changes. */
@@ -228,26 +319,19 @@
       log.error('configuration-unreadable', { revision: item.revision, reason: catalog.error });
       return;
     }
-    if (item.revision >= (this.#catalogItem?.revision ?? 0)) this.#catalogItem = item;
+    const known = this.#catalogItem?.revision ?? 0;
+    if (item.revision >= known) this.#catalogItem = item;
     target.applyCatalog(catalog.value, source);
+    if (item.revision > known) this.#options.onNews();
   }
 
-  /** @param listedAt - When an instance read the list from the store, monotonic milliseconds. */
-  #applyListing(listing: StoreListing, keepMissing: boolean, listedAt: number): void {
-    const { schema, target, log } = this.#options;
-    this.#listing = listing;
-    this.#listedAt = listedAt;
-    const bad = new Map<string, number>();
-    const registrations = listing.items.flatMap(({ key, value, revision }) => {
-      const read = schema.readRegistration(key, value);
-      if (read.isOk()) return [read.value];
-      bad.set(key, revision);
-      if (this.#badItems.get(key) !== revision) {
-        log.warn('registration-unreadable', { item: key, revision, reason: read.error });
-      }
-      return [];
-    });
-    this.#badItems = bad;
-    target.applyRegistrations(registrations, keepMissing);
+  #readRegistration({ key, value, revision }: StoreItem): Registration | undefined {
+    const read = this.#options.schema.readRegistration(key, value);
+    if (read.isOk()) return read.value;
+    if (this.#badKeys.has(key)) return undefined;
+    if (this.#badKeys.size >= maxBadKeys) this.#badKeys.clear();
+    this.#badKeys.add(key);
+    this.#options.log.warn('registration-unreadable', { item: key, revision, reason: read.error });
+    return undefined;
   }
 }
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -1,9 +1,9 @@
-import { randomBytes } from 'node:crypto';
+import { createHash, randomBytes } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Backoff } from '@dotterelpass/store';
 import type { Store, StoreItem } from '@dotterelpass/store';
 import type { Log } from '@dotterelpass/telemetry';
-import type { Clock, InstanceId, Random } from '@dotterelpass/values';
+import type { Clock, FailureDomain, InstanceId, Random } from '@dotterelpass/values';
 
 /** Prefix of the keys that the instances write. */
 const prefix = 'dotterelpass/';
@@ -11,9 +11,12 @@
 const banPrefix = `${prefix}bans/`;
 const peerKeyKey = `${prefix}peer-key`;
 
-/** Time between readings of the instances' own keys, in milliseconds. */
+/** Age at which the instances' own keys are read again, in milliseconds. */
 const readMs = 1000;
 
+/** The same while another instance tells them. */
+const toldReadMs = 4000;
+
 /** Bounds of the wait after a failed call, in milliseconds. */
 const minRetryMs = 50;
 const maxRetryMs = 4000;
@@ -29,18 +32,37 @@
 
 const peerKeyBytes = 24;
 
+/** Chance of an attempt to write the shared key: instances that start together need only one. */
+const mintShare = 0.2;
+
+/** Another instance. */
+export interface Peer {
+  /** IP address and port for peers. */
+  readonly address: string;
+  readonly failureDomain: FailureDomain;
+}
+
+/** The instances' own keys, as one instance tells them to another. */
+export interface FleetKeys {
+  /** Undefined when the other one has the same. */
+  readonly items: readonly StoreItem[] | undefined;
+  /** Age, in milliseconds. */
+  readonly ageMs: number;
+}
+
 export interface FleetOptions {
   readonly store: Store;
   readonly instance: InstanceId;
-  /** IP address and port for peers. */
-  readonly peerAddress: string;
+  readonly self: Peer;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
   onSize(size: number): void;
+  /** Called when the keys have changed. */
+  onNews(): void;
   onBan(fingerprint: string): void;
-  /** Called with the key that all instances share and the addresses of the others. */
-  onPeers(peerKey: string, addresses: ReadonlyMap<InstanceId, string>): void;
+  /** Called with the key that all instances share and the others. */
+  onPeers(peerKey: string, peers: ReadonlyMap<InstanceId, Peer>): void;
 }
 
 /** The instances of the fleet, which find each other in the store and share bans there. */
@@ -51,6 +73,14 @@
 
   readonly #bans = new Set<string>();
 
+  #items: readonly StoreItem[] = [];
+
+  #digest = '';
+
+  #readAt = -Infinity;
+
+  #toldAt = -Infinity;
+
   #peerKey: string | undefined;
 
   #lease: number | undefined;
@@ -63,20 +93,32 @@
     this.#options = options;
   }
 
+  /** Identifies the keys that are known. */
+  get digest(): string {
+    return this.#digest;
+  }
+
   /** Registers this instance and follows the others, until `stop`. */
   async run(): Promise<void> {
-    const { store, random, log } = this.#options;
+    const { store, random, log, clock } = this.#options;
     const backoff = new Backoff(random, minRetryMs, maxRetryMs);
     while (!this.#stopped) {
-      const listing = await store.list(prefix, this.#peerKey !== undefined);
+      const waitMs = this.#findWait();
+      if (waitMs > 0) {
+        await sleep(Math.ceil(waitMs));
+        continue;
+      }
+      const startedAt = clock.now();
+      const listing = await store.list(prefix, true);
       if (listing.isErr()) {
         log.debug('fleet-unread', { reason: listing.error.message });
         await backoff.sleep();
         continue;
       }
       backoff.reset();
-      await this.#apply(listing.value.items);
-      await sleep(this.#peerKey === undefined ? minRetryMs : readMs);
+      this.#readAt = startedAt;
+      this.#apply(listing.value.items);
+      await this.#writeMissing();
     }
   }
 
@@ -84,6 +126,22 @@
     this.#stopped = true;
   }
 
+  /** @returns The keys, for an instance that has those of `digest`. */
+  tell(digest: string): FleetKeys {
+    const items = digest === this.#digest ? undefined : this.#items;
+    return { items, ageMs: this.#options.clock.now() - this.#readAt };
+  }
+
+  /** Takes the keys that another instance has read. */
+  receive({ items, ageMs }: FleetKeys): void {
+    const now = this.#options.clock.now();
+    const readAt = now - ageMs;
+    if (readAt <= this.#readAt) return;
+    this.#readAt = readAt;
+    this.#toldAt = now;
+    this.#apply(items ?? this.#items);
+  }
+
   /**
    * Tells the fleet of a ban.
    *
@@ -101,10 +159,22 @@
     }
   }
 
-  async #apply(items: readonly StoreItem[]): Promise<void> {
-    const { instance, clock, onSize, onBan, onPeers } = this.#options;
+  /** @returns Time until the keys are read from the store, in milliseconds. */
+  #findWait(): number {
+    const now = this.#options.clock.now();
+    if (this.#peerKey === undefined) return this.#readAt + minRetryMs - now;
+    const isTold = now - this.#toldAt < toldReadMs;
+    return this.#readAt + (isTold ? toldReadMs : readMs) - now;
+  }
+
+  #apply(items: readonly StoreItem[]): void {
+    const { instance, clock, onSize, onNews, onBan, onPeers } = this.#options;
     const now = clock.now();
-    const addresses = new Map<InstanceId, string>();
+    const digest = toDigest(items);
+    if (digest !== this.#digest) onNews();
+    this.#items = items;
+    this.#digest = digest;
+    const peers = new Map<InstanceId, Peer>();
     items.forEach(({ key, value }) => {
       if (key === peerKeyKey) this.#peerKey = value.toString();
       else if (key.startsWith(banPrefix)) {
@@ -115,35 +185,50 @@
       } else if (key.startsWith(instancePrefix)) {
         const name = key.slice(instancePrefix.length) as InstanceId;
         this.#seen.set(name, now);
-        if (name !== instance) addresses.set(name, value.toString());
+        const peer = this.#readPeer(key, value);
+        if (name !== instance && peer) peers.set(name, peer);
       }
     });
     [...this.#seen].forEach(([name, at]) => {
       if (now - at > rememberMs) this.#seen.delete(name);
     });
-    const isListed = items.some(({ key }) => key === instancePrefix + instance);
-    if ((!isListed || this.#registeredAt === -Infinity) && now - this.#registeredAt > registerMs) {
-      await this.#register();
-    }
-    if (this.#peerKey === undefined) await this.#mintPeerKey();
-    else onPeers(this.#peerKey, addresses);
+    if (this.#peerKey !== undefined) onPeers(this.#peerKey, peers);
     onSize(Math.max(1, this.#seen.size));
   }
 
+  #readPeer(key: string, value: Buffer): Peer | undefined {
+    try {
+      const { address, failureDomain } = JSON.parse(value.toString()) as Peer;
+      return { address, failureDomain };
+    } catch (error) {
+      this.#options.log.warn('instance-unreadable', { item: key, reason: String(error) });
+      return undefined;
+    }
+  }
+
+  /** Writes what this instance owes the others and has not been listed. */
+  async #writeMissing(): Promise<void> {
+    const { instance, clock, random } = this.#options;
+    const isListed = this.#items.some(({ key }) => key === instancePrefix + instance);
+    const isDue = clock.now() - this.#registeredAt > registerMs;
+    if ((!isListed || this.#registeredAt === -Infinity) && isDue) await this.#register();
+    if (this.#peerKey === undefined && random.next() < mintShare) await this.#mintPeerKey();
+  }
+
   async #register(): Promise<void> {
-    const { store, instance, peerAddress, clock, log } = this.#options;
+    const { store, instance, self, clock, log } = this.#options;
     // A lease that ended takes the keys with it, so a lost registration needs a new one.
     if (this.#registeredAt !== -Infinity) this.#lease = undefined;
     const lease = await this.#findLease();
     if (lease === undefined) return;
     const key = instancePrefix + instance;
-    const written = await store.put({ key, value: Buffer.from(peerAddress), lease });
+    const written = await store.put({ key, value: Buffer.from(JSON.stringify(self)), lease });
     if (written.isErr()) {
       log.warn('instance-unregistered', { reason: written.error.message });
       return;
     }
     this.#registeredAt = clock.now();
-    log.info('instance-registered', { peerAddress });
+    log.info('instance-registered', { ...self });
   }
 
   async #findLease(): Promise<number | undefined> {
@@ -165,3 +250,9 @@
     if (written.isErr()) log.warn('peer-key-unwritten', { reason: written.error.message });
   }
 }
+
+function toDigest(items: readonly StoreItem[]): string {
+  const hash = createHash('sha1');
+  items.forEach(({ key, revision }) => hash.update(`${key} ${revision}\n`));
+  return hash.digest('base64');
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -106,7 +106,8 @@
     this.#prober = new Prober({
       dialect,
       metrics,
-      perSecond: () => (this.#limits.probesPerSecond * limitShare) / this.#fleetSize,
+      perSecond: () =>
+        (this.#limits.probesPerSecond * limitShare * this.#registry.size) / this.#fleetSize,
       findHealthPath: (service) => this.#catalog?.services.get(service)?.healthPath,
     });
     const picker = new Picker({
@@ -206,9 +207,8 @@
   }
 
   /** See {@link Registry.apply}. */
-  applyRegistrations(registrations: readonly Registration[], keepMissing: boolean): void {
-    this.#registry.apply(registrations, keepMissing);
-    this.#prober.retain((id) => this.#registry.find(id) !== undefined);
+  applyRegistrations(registrations: readonly Registration[]): void {
+    this.#registry.apply(registrations);
   }
 
   /** @param size - Instances that share the fleet's limits, this one included. */
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -69,7 +69,7 @@
 
   constructor(options: InstanceOptions) {
     this.#options = options;
-    const { instance, incarnation, ip, peerPort, store, schema } = options;
+    const { instance, incarnation, failureDomain, ip, peerPort, store, schema } = options;
     const { clock, random, log, metrics } = options;
     this.#gateway = new Gateway(
       {
@@ -81,27 +81,31 @@
       expectedInstances,
     );
     const gateway = this.#gateway;
-    this.#feed = new Feed({ store, schema, target: gateway, clock, random, log, metrics });
-    this.#relay = new Relay({
+    const onNews = () => this.#relay.announce();
+    this.#feed = new Feed({ store, schema, target: gateway, clock, random, log, metrics, onNews });
+    this.#fleet = new Fleet({
+      store,
       instance,
-      incarnation,
-      ip,
-      port: peerPort,
-      feed: this.#feed,
+      self: { address: `${ip}:${peerPort}`, failureDomain },
       clock,
       random,
       log,
+      onSize: (size) => gateway.setFleetSize(size),
+      onNews,
+      onBan: (fingerprint) => gateway.ban(fingerprint),
+      onPeers: (peerKey, peers) => this.#relay.setPeers(peerKey, peers),
     });
-    this.#fleet = new Fleet({
-      store,
+    this.#relay = new Relay({
       instance,
-      peerAddress: `${ip}:${peerPort}`,
+      incarnation,
+      failureDomain,
+      ip,
+      port: peerPort,
+      feed: this.#feed,
+      fleet: this.#fleet,
       clock,
       random,
       log,
-      onSize: (size) => gateway.setFleetSize(size),
-      onBan: (fingerprint) => gateway.ban(fingerprint),
-      onPeers: (peerKey, addresses) => this.#relay.setPeers(peerKey, addresses),
     });
     this.#readiness = createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503).end();
@@ -117,7 +121,7 @@
     metrics.addGauge(
       'registrations_age_ms',
       'Age of the list of endpoints.',
-      () => this.#feed.knowledge.listingAgeMs,
+      () => this.#feed.listedAgeMs,
     );
     metrics.addGauge('log_lines_dropped', 'Log lines that nobody read.', countDroppedLines);
   }
@@ -177,14 +181,15 @@
 
   #readStatus(): LogFields {
     const { instance, incarnation, clock } = this.#options;
-    const { lostSince, knowledge } = this.#feed;
+    const { lostSince, listedAgeMs } = this.#feed;
     return {
       instance,
       incarnation,
       isReady: this.isReady,
       isStopping: this.#stopping,
       storeLostMs: lostSince === undefined ? 0 : Math.round(clock.now() - lostSince),
-      registrationsAgeMs: Math.round(knowledge.listingAgeMs),
+      registrationsAgeMs: Math.round(listedAgeMs),
+      storeReader: this.#relay.source,
       ...this.#gateway.readStatus(),
     };
   }
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -21,6 +21,12 @@
 /** An endpoint elsewhere must be this much faster than the best one near. */
 const farGain = 0.75;
 
+/**
+ * Age at which a report tells nothing of an endpoint's speed any more, in milliseconds: the speed
+ * changes several times a second.
+ */
+const reportLastsMs = 300;
+
 /** Share of the slots from which calls on an endpoint slow each other down. */
 const busyShare = 0.8;
 
@@ -91,8 +97,8 @@
     const leastPenalty = Math.min(...usable.map(findPenalty));
     const need: Ranking = { ...call, leastPenalty };
     const near = usable.filter(({ registration }) => registration.failureDomain === failureDomain);
-    const bestNear = await this.#pickOf(near, need);
-    if (bestNear && bestNear.rankMs <= nearShare * call.route.targetLatencyMs) return bestNear;
+    const bestNear = await this.#pickNear(near, need);
+    if (bestNear && isGoodEnough(bestNear, call)) return bestNear;
     const far = usable.filter(({ registration }) => registration.failureDomain !== failureDomain);
     const bestFar = await this.#pickOf(far, need);
     if (!bestNear) return bestFar ?? this.#pickAny(usable, need);
@@ -100,6 +106,17 @@
     return bestNear;
   }
 
+  /** Asks more of the same failure domain before any in others, which cost more. */
+  async #pickNear(near: readonly Endpoint[], need: Ranking): Promise<Pick | undefined> {
+    const first = await this.#pickOf(near, need);
+    if (near.length <= probeWidth || (first && isGoodEnough(first, need))) return first;
+    const second = await this.#pickOf(
+      near.filter(({ reportAgeMs }) => reportAgeMs > freshMs),
+      need,
+    );
+    return second && (!first || second.rankMs < first.rankMs) ? second : first;
+  }
+
   /** Asks some of a group and takes the best that answered. */
   async #pickOf(group: readonly Endpoint[], need: Ranking): Promise<Pick | undefined> {
     if (group.length === 0) return undefined;
@@ -156,7 +173,10 @@
     const usualMs = work.findMs(route) * (isWarm ? 1 : coldFactor);
     const busy = hasRoom(endpoint) ? 1 : busyFactor;
     const waits = Math.max(0, load + 1 - slots) / slots;
-    const slowdown = report?.slowdown ?? work.findSlowdown(service);
+    const usualSlowdown = work.findSlowdown(service);
+    const reported = report?.slowdown ?? usualSlowdown;
+    const weight = Math.max(0, 1 - reportAgeMs / reportLastsMs);
+    const slowdown = usualSlowdown + weight * (reported - usualSlowdown);
     // An endpoint runs a call to its end at the speed that it has when the call begins.
     const expectedMs = usualMs * busy * (1 + waits) * slowdown;
     const rankMs = (expectedMs * findPenalty(endpoint)) / leastPenalty;
@@ -170,6 +190,10 @@
   readonly leastPenalty: number;
 }
 
+function isGoodEnough({ rankMs }: Pick, { route }: Need): boolean {
+  return rankMs <= nearShare * route.targetLatencyMs;
+}
+
 function findPenalty({ failureScore, shedScore, isHealthy }: Endpoint): number {
   return (
     failureFactor ** failureScore * shedFactor ** shedScore * (isHealthy ? 1 : unhealthyFactor)
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -8,10 +8,13 @@
 /** Time for the answer to a probe; endpoints answer it at once, whatever their load. */
 const probeTimeoutMs = 100;
 
+/** Probes that may be sent at once, as the time in which their number is allowed, in seconds. */
+const burstSeconds = 1;
+
 export interface ProberOptions {
   readonly dialect: Dialect;
   readonly metrics: Metrics;
-  /** Probes a second that this instance may send to one endpoint. */
+  /** Probes a second that this instance may send to all endpoints together. */
   readonly perSecond: () => number;
   findHealthPath(service: ServiceId): string | undefined;
 }
@@ -22,8 +25,10 @@
 
   readonly #running = new Map<EndpointId, Promise<boolean>>();
 
-  /** Earliest time of the next probe of an endpoint, monotonic milliseconds. */
-  readonly #notBefore = new Map<EndpointId, number>();
+  /** Probes that may be sent now. */
+  #tokens = 0;
+
+  #filledAt = performance.now();
 
   constructor(options: ProberOptions) {
     this.#options = options;
@@ -40,21 +45,28 @@
     const { id } = endpoint.registration;
     const running = this.#running.get(id);
     if (running) return running;
-    const now = performance.now();
-    if (now < (this.#notBefore.get(id) ?? 0)) return endpoint.isReachable;
-    this.#notBefore.set(id, now + 1000 / this.#options.perSecond());
+    if (!this.#takeToken()) return endpoint.isReachable;
     const probe = this.#ask(endpoint).finally(() => this.#running.delete(id));
     this.#running.set(id, probe);
     return probe;
   }
 
-  /** Forgets endpoints that are registered no more. */
-  retain(isKnown: (id: EndpointId) => boolean): void {
-    [...this.#notBefore.keys()]
-      .filter((id) => !isKnown(id))
-      .forEach((id) => {
-        this.#notBefore.delete(id);
-      });
+  /**
+   * One budget serves all endpoints: a large fleet's share for a single one would allow a probe
+   * every other second, and an instance asks few of the endpoints at a time.
+   */
+  #takeToken(): boolean {
+    const perSecond = this.#options.perSecond();
+    const now = performance.now();
+    const filled = this.#tokens + ((now - this.#filledAt) / 1000) * perSecond;
+    this.#tokens = Math.min(burstSeconds * perSecond, filled);
+    this.#filledAt = now;
+    if (this.#tokens < 1) {
+      this.#options.metrics.recordEvent('probe-budget-spent');
+      return false;
+    }
+    this.#tokens -= 1;
+    return true;
   }
 
   async #ask(endpoint: Endpoint): Promise<boolean> {
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -43,17 +43,13 @@
    * Takes the list of registered endpoints in place of the one before.
    *
    * @param registrations - The endpoints.
-   * @param keepMissing - Whether endpoints that are missing stay: registrations may have lapsed
-   * because the store was away.
    */
-  apply(registrations: readonly Registration[], keepMissing: boolean): void {
+  apply(registrations: readonly Registration[]): void {
     const listed = new Map(registrations.map((entry) => [entry.id, entry]));
     listed.forEach((entry) => this.#applyOne(entry));
-    if (!keepMissing) {
-      [...this.#endpoints.keys()]
-        .filter((id) => !listed.has(id))
-        .forEach((id) => this.#remove(id, 'missing'));
-    }
+    [...this.#endpoints.keys()]
+      .filter((id) => !listed.has(id))
+      .forEach((id) => this.#remove(id, 'missing'));
     const services = new Map<ServiceId, Endpoint[]>();
     this.#endpoints.forEach((endpoint) => {
       const { service, state } = endpoint.registration;
