Read for others only as the source, and let told keys of the fleet count

An instance that was asked by others read the list more often although it had a source itself, and one that had read its fleet's keys a moment ago never took told ones for newer, so it went on reading.

--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -46,7 +46,7 @@
 /** Age at which the registrations are read from the store, in milliseconds. */
 const listMs = 1500;
 
-/** The same while other instances take them from here, which get them a little later. */
+/** The same while this instance reads for others, which get them a little later. */
 const sharedListMs = 1200;
 
 /** Time for which an instance that was asked reads for others, in milliseconds. */
@@ -274,7 +274,8 @@
   /** The list is read at the moment from which missing registrations have gone, too. */
   #findListWait(): number {
     const now = this.#options.clock.now();
-    const nextAt = this.#listedAt + (now < this.#sharedUntil ? sharedListMs : listMs);
+    const isReader = now < this.#sharedUntil && now >= this.#restUntil;
+    const nextAt = this.#listedAt + (isReader ? sharedListMs : listMs);
     const isKeeping = this.#listedAt < this.#keepUntil && this.#keepUntil < nextAt;
     const waitMs = (isKeeping ? this.#keepUntil : nextAt) - now;
     // Timers drop fractions of a millisecond and would end a little too early.
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -136,9 +136,9 @@
   receive({ items, ageMs }: FleetKeys): void {
     const now = this.#options.clock.now();
     const readAt = now - ageMs;
+    if (ageMs < toldReadMs) this.#toldAt = now;
     if (readAt <= this.#readAt) return;
     this.#readAt = readAt;
-    this.#toldAt = now;
     this.#apply(items ?? this.#items);
   }
 
