--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -185,6 +185,11 @@
     const { socket } = request;
     const connection = this.#connections.get(socket);
     if (!connection) return;
+    if (!socket.writable) {
+      // The request crossed the end of its connection: nobody could be given the answer.
+      socket.destroy();
+      return;
+    }
     // Node drops what was pipelined behind an answer that closes.
     if (this.#draining) connection.calls.forEach((_gone, earlier) => keepAlive(earlier));
     const gone = new Departure();
--- a/packages/proxy/test/caller.test.ts
+++ b/packages/proxy/test/caller.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { CallerServer, readBody, refuse } from '../src/index.js';
 import { exchange } from './raw.js';
@@ -279,6 +281,28 @@
     expect((await idle).end).toBe('end');
   });
 
+  /** Guards a call that may run once against running without anyone to give the answer to. */
+  it('does not run a request that crosses the end of its connection', async () => {
+    let runs = 0;
+    const closing = new CallerServer(async ({ response }) => {
+      runs += 1;
+      response.end('whole');
+    });
+    const own = await closing.open('127.0.0.1', 0);
+    const socket = connect({ host: '127.0.0.1', port: own, allowHalfOpen: true });
+    await once(socket, 'connect');
+    socket.on('error', () => undefined).resume();
+    socket.once('end', () => socket.write(`POST / HTTP/1.1\r\n${host}Content-Length: 0\r\n\r\n`));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    const startedAt = performance.now();
+    await closing.close(2000);
+    socket.destroy();
+    expect(runs).toBe(0);
+    expect(performance.now() - startedAt).toBeLessThan(1500);
+  });
+
   it('serves a request that follows an answer which could not ask to close', async () => {
     const draining = new CallerServer(async ({ response }) => {
       response.write('begun, ');
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,5 +1,6 @@
 import { pino } from 'pino';
 import type { DestinationStream } from 'pino';
+import { PipeOutput, isPipe } from './output.js';
 
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
 
@@ -136,7 +137,20 @@
 
 /** Standard output is opened by the first line, so that programs without a log leave it alone. */
 function findDestination(): DestinationStream {
-  if (destination) return destination;
+  destination ??= isPipe(standardOutput) ? openPipe() : openFile();
+  return destination;
+}
+
+/** Writing to a pipe blocks a thread, and with it the end of the program, unless it is a stream. */
+function openPipe(): DestinationStream {
+  const onDrop = (lines: number) => {
+    droppedLines += lines;
+  };
+  const limits = { minWriteBytes, maxBufferedBytes, flushMs };
+  return new PipeOutput(standardOutput, limits, onDrop);
+}
+
+function openFile(): DestinationStream {
   const stream = pino.destination({
     dest: standardOutput,
     sync: false,
@@ -159,7 +173,6 @@
       droppedLines += 1;
     }
   });
-  destination = stream;
   return stream;
 }
 
