Wait longer after failed calls while the reader of the store answers

An instance for which another one reads hears from that one as soon as the store is back, so it now waits 1.5 s more after a failed call. One that has no configuration or list yet goes on as before.

Ruled out: the questions to peers (no store calls), the fleet's own keys (waits grow to 4 s already).

--- a/packages/gateway/src/feed.ts
+++ b/packages/gateway/src/feed.ts
@@ -49,13 +49,19 @@
 /** The same while this instance reads for others, which get them a little later. */
 const sharedListMs = 1200;
 
-/** Time for which an instance that was asked reads for others, in milliseconds. */
+/** Time for which an instance counts as one that reads for others, in milliseconds. */
 const sharingMs = 3000;
 
 /** Bounds of the wait after a failed call, in milliseconds. */
 const minRetryMs = 100;
 const maxRetryMs = 400;
 
+/**
+ * Further wait after a failed call of an instance for which another one reads, in milliseconds:
+ * it hears from that one as soon as the store is back.
+ */
+const followerRetryMs = 1500;
+
 /**
  * Time after the store's return in which registrations that lapsed meanwhile may come back, in
  * milliseconds. One that is missing after that has gone.
@@ -103,6 +109,9 @@
 
   #sharedUntil = -Infinity;
 
+  /** Until when an instance that answers is taken to read for this one. */
+  #followingUntil = -Infinity;
+
   /** Since when calls to the store fail; undefined while they do not. */
   #lostSince: number | undefined;
 
@@ -159,6 +168,11 @@
     this.#stopped = true;
   }
 
+  /** An instance that reads for this one has answered, whether or not it had something new. */
+  follow(): void {
+    this.#followingUntil = this.#options.clock.now() + sharingMs;
+  }
+
   /** Another instance depends on what this one reads: it reads more often for some time. */
   share(): void {
     this.#sharedUntil = this.#options.clock.now() + sharingMs;
@@ -222,7 +236,7 @@
           this.#catalogAt = clock.now();
           revision = read.value.revision;
           backoff.reset();
-        } else await backoff.sleep();
+        } else await this.#waitToRetry(backoff);
         continue;
       }
       this.#isWatching = true;
@@ -258,7 +272,7 @@
       const startedAt = clock.now();
       const listing = await store.list(schema.registrationPrefix);
       if (!this.#record('registrations', listing)) {
-        await backoff.sleep();
+        await this.#waitToRetry(backoff);
         continue;
       }
       backoff.reset();
@@ -271,6 +285,12 @@
     }
   }
 
+  async #waitToRetry(backoff: Backoff): Promise<void> {
+    await backoff.sleep();
+    const isReady = this.isListed && this.#options.target.version >= 0;
+    if (isReady && this.#options.clock.now() < this.#followingUntil) await sleep(followerRetryMs);
+  }
+
   /** The list is read at the moment from which missing registrations have gone, too. */
   #findListWait(): number {
     const now = this.#options.clock.now();
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -150,7 +150,8 @@
   async #refresh(hub: PeerHub): Promise<void> {
     const { feed, fleet, clock } = this.#options;
     let source: InstanceId | undefined;
-    for (const peer of this.#findSources()) {
+    const readers = this.#findReaders();
+    for (const peer of [...readers, ...this.#findOthers(readers)]) {
       const heard = peer === this.#source ? this.#heard : undefined;
       const body: Question = { ...feed.revisions, fleetDigest: fleet.digest, heard };
       const waitMs = heard === undefined ? answerMs : answerMs + newsMs;
@@ -163,6 +164,7 @@
         continue;
       }
       const told = answer.value as unknown as Answer;
+      if (readers.includes(peer)) feed.follow();
       this.#receive(told, peer, clock.now() - askedAt - told.heldMs);
       if (!feed.isFresh) continue;
       source = peer;
@@ -200,22 +202,32 @@
     this.#source = source;
   }
 
-  #findSources(): readonly InstanceId[] {
-    const { instance, failureDomain, feed, clock, random } = this.#options;
-    const now = clock.now();
-    const open = [...this.#peers]
-      .filter(([peer]) => (this.#avoidUntil.get(peer) ?? 0) <= now)
-      .sort(([a], [b]) => (a < b ? -1 : 1));
-    const readers = findReaders(instance, failureDomain, open).slice(0, maxReaders);
+  /** Who may read the store for this instance, in the order in which they are asked. */
+  #findReaders(): readonly InstanceId[] {
+    const { instance, failureDomain } = this.#options;
+    return findReaders(instance, failureDomain, this.#findOpen()).slice(0, maxReaders);
+  }
+
+  /** Some others, while the store does not answer this instance. */
+  #findOthers(readers: readonly InstanceId[]): readonly InstanceId[] {
+    const { feed, clock, random } = this.#options;
     const { lostSince } = feed;
-    if (lostSince === undefined || now - lostSince <= patienceMs) return readers;
+    if (lostSince === undefined || clock.now() - lostSince <= patienceMs) return [];
     // The present source first: its answers wait for news, those of others come at once.
-    const others = open
+    return this.#findOpen()
       .map(([peer]) => ({ peer, rank: peer === this.#source ? -1 : random.next() }))
       .filter(({ peer }) => !readers.includes(peer))
       .sort((a, b) => a.rank - b.rank)
-      .slice(0, maxOthers);
-    return [...readers, ...others.map(({ peer }) => peer)];
+      .slice(0, maxOthers)
+      .map(({ peer }) => peer);
+  }
+
+  /** The peers that may be asked now, by name. */
+  #findOpen(): readonly (readonly [InstanceId, Peer])[] {
+    const now = this.#options.clock.now();
+    return [...this.#peers]
+      .filter(([peer]) => (this.#avoidUntil.get(peer) ?? 0) <= now)
+      .sort(([a], [b]) => (a < b ? -1 : 1));
   }
 }
 
