Ask the same peers for some seconds while the store does not answer

Each lost instance drew three others anew five times in two seconds, and each new one costs a link with its handshake on both sides. They stay for 3 s now.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -27,6 +27,9 @@
 const maxReaders = 2;
 const maxOthers = 3;
 
+/** Time for which the same others are asked, in milliseconds. */
+const keepOthersMs = 3000;
+
 const question = 'knowledge';
 
 export interface RelayOptions {
@@ -63,6 +66,11 @@
   /** Number of the last news of this instance. */
   #news = 0;
 
+  /** Peers elsewhere that are asked while the store fails, and until when. */
+  #others: readonly InstanceId[] = [];
+
+  #othersUntil = -Infinity;
+
   /** Ends the waits for news. */
   #waiting: (() => void)[] = [];
 
@@ -213,13 +221,20 @@
     const { feed, clock, random } = this.#options;
     const { lostSince } = feed;
     if (lostSince === undefined || clock.now() - lostSince <= patienceMs) return [];
-    // The present source first: its answers wait for news, those of others come at once.
-    return this.#findOpen()
-      .map(([peer]) => ({ peer, rank: peer === this.#source ? -1 : random.next() }))
-      .filter(({ peer }) => !readers.includes(peer))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, maxOthers)
-      .map(({ peer }) => peer);
+    const now = clock.now();
+    const open = this.#findOpen().map(([peer]) => peer);
+    // Each new one costs a link, so they stay for some time.
+    if (now >= this.#othersUntil || !this.#others.every((peer) => open.includes(peer))) {
+      this.#othersUntil = now + keepOthersMs;
+      this.#others = open
+        .filter((peer) => !readers.includes(peer))
+        // The present source stays: its answers wait for news.
+        .map((peer) => ({ peer, rank: peer === this.#source ? -1 : random.next() }))
+        .sort((a, b) => a.rank - b.rank)
+        .slice(0, maxOthers)
+        .map(({ peer }) => peer);
+    }
+    return this.#others;
   }
 
   /** The peers that may be asked now, by name. */
