Let calls wait for capacity on the instance, most urgent first

Two faults fed each other. A new connection to an endpoint whose slots are all in use waits for a slot, so the probe on it had no answer within 100 ms; the endpoint counted as unreachable for 500 ms, its report was dropped, and it then looked idle (210 of 210 unanswered probes of the first 14 s were on connections that the endpoint had accepted). And a call that could still be in time was sent into the queue of an endpoint, where short calls stood behind long ones.

Change: the queue of calls is on the instance, ordered by priority and then by the latest start; only the first call looks for an endpoint. A call goes to an endpoint with spare capacity, an urgent one also to the last slot, and at its latest start wherever its target can still be met. A probe that an endpoint has accepted but not answered marks it as full, keeps its connection, and its late answer wakes the queue. A reset or silent idle connection is no sign of an unreachable endpoint. Endpoints that have not answered a probe no longer compete with those that have.

--- /dev/null
+++ b/packages/gateway/src/admission.ts
@@ -0,0 +1,164 @@
+import type { Clock, ServiceId } from '@dotterelpass/values';
+import type { AttemptRecord, Call } from './call.js';
+import { CapacityQueue } from './capacity.js';
+import type { WaitingCall } from './capacity.js';
+import type { LatencyEstimator } from './latency.js';
+import { busyFactor, hasSpareCapacity } from './picker.js';
+import type { Pick, Picker } from './picker.js';
+
+/** Safety factor on the expected time of a call that waits as long as its target allows. */
+const latestStartFactor = 1.25;
+
+/**
+ * Time that a call waits for capacity when it cannot meet its target any more, relative to its
+ * target latency. A longer wait would take the slots of calls that can still meet theirs.
+ */
+const lateWaitShare = 0.1;
+
+/** Time between two looks for an endpoint, relative to the estimated latency, and its bounds. */
+const pollShare = 0.1;
+const minPollIntervalMs = 10;
+const maxPollIntervalMs = 50;
+
+/** Result of the admission of a call; undefined when no endpoint is reachable. */
+export type Admission = Pick | 'overload' | undefined;
+
+/** The parts of a call on which its admission depends. */
+export type AdmissionRequest = {
+  readonly [Key in 'service' | 'route' | 'isUrgent' | 'targetDeadlineAt' | 'deadlineAt']: Call[Key];
+} & { readonly incoming: { readonly cancellation: Call['incoming']['cancellation'] } };
+
+export interface CallAdmissionOptions {
+  readonly clock: Clock;
+  readonly latency: LatencyEstimator;
+  readonly picker: Picker;
+}
+
+/**
+ * Decides when a call is sent. A call that would queue at an endpoint waits here instead, where
+ * urgent calls go first: endpoints serve in the order of arrival, and a few long calls in their
+ * queues make all short calls behind them late.
+ */
+export class CallAdmission {
+  readonly #options: CallAdmissionOptions;
+
+  readonly #queues = new Map<ServiceId, CapacityQueue>();
+
+  constructor(options: CallAdmissionOptions) {
+    this.#options = options;
+  }
+
+  /** @returns Number of calls that wait for an endpoint of a service. */
+  countWaiting(service: ServiceId): number {
+    return this.#queues.get(service)?.size ?? 0;
+  }
+
+  /** Lets the first waiting call of a service look for an endpoint at once. */
+  notifyCapacity(service: ServiceId): void {
+    this.#queues.get(service)?.wakeFirst();
+  }
+
+  /**
+   * Waits for an endpoint that can take a call now, as long as the target latency of the call
+   * allows.
+   *
+   * @param call - The call.
+   * @param records - Its earlier attempts, whose endpoints are excluded.
+   */
+  async admitCall(call: AdmissionRequest, records: readonly AttemptRecord[]): Promise<Admission> {
+    const queue = this.#getOrCreateQueue(call.service);
+    const waitingCall = this.#buildWaitingCall(call);
+    if (!queue.hasPrecedence(waitingCall)) {
+      const pick = await this.#pick(call, records, false);
+      if (!pick || this.#canStart(call, pick, waitingCall.isLate)) return pick;
+    }
+    return this.#waitForCapacity(call, records, queue, waitingCall);
+  }
+
+  async #waitForCapacity(
+    call: AdmissionRequest,
+    records: readonly AttemptRecord[],
+    queue: CapacityQueue,
+    waitingCall: WaitingCall,
+  ): Promise<Admission> {
+    const { cancellation } = call.incoming;
+    const waiter = queue.add(waitingCall);
+    const wake = () => waiter.wake();
+    cancellation.addListener(wake);
+    try {
+      for (;;) {
+        await queue.waitForTurn(waiter, this.#calculatePollIntervalMs(call));
+        const isTimeUp = this.#options.clock.now() >= waitingCall.waitUntil;
+        if (cancellation.aborted) return undefined;
+        if (!isTimeUp && !queue.isFirst(waiter)) continue;
+        const pick = await this.#pick(call, records, true);
+        if (!pick || this.#canStart(call, pick, isTimeUp || waitingCall.isLate)) return pick;
+        if (isTimeUp) return this.#mayQueueAtEndpoint(call, pick) ? pick : 'overload';
+      }
+    } finally {
+      cancellation.removeListener(wake);
+      queue.remove(waiter);
+    }
+  }
+
+  async #pick(
+    call: AdmissionRequest,
+    records: readonly AttemptRecord[],
+    needsSpareCapacity: boolean,
+  ): Promise<Pick | undefined> {
+    return this.#options.picker.pick({
+      service: call.service,
+      route: call.route,
+      tried: records.map(({ endpoint }) => endpoint),
+      needsSpareCapacity,
+    });
+  }
+
+  /**
+   * Whether a call can be sent without a wait at the endpoint. An urgent call may take the last
+   * slots, which the other calls leave free.
+   *
+   * @param mayMissTarget - Whether to send the call even if it is expected to miss its target.
+   */
+  #canStart(call: AdmissionRequest, pick: Pick, mayMissTarget: boolean): boolean {
+    const { load, registration } = pick.endpoint;
+    const hasRoom = hasSpareCapacity(pick.endpoint) || (call.isUrgent && load < registration.slots);
+    return hasRoom && (mayMissTarget || this.#meetsTarget(call, pick));
+  }
+
+  /**
+   * Whether a call that cannot wait here any longer is sent to an endpoint without room. An urgent
+   * call is worth more than the delay of the one that would be next there.
+   */
+  #mayQueueAtEndpoint(call: AdmissionRequest, pick: Pick): boolean {
+    const { load, registration } = pick.endpoint;
+    return this.#meetsTarget(call, pick) || (call.isUrgent && load <= registration.slots);
+  }
+
+  #meetsTarget(call: AdmissionRequest, { expectedMs }: Pick): boolean {
+    return this.#options.clock.now() + expectedMs <= call.targetDeadlineAt;
+  }
+
+  #buildWaitingCall({ route, service, targetDeadlineAt }: AdmissionRequest): WaitingCall {
+    const { clock, latency } = this.#options;
+    const now = clock.now();
+    const busyMs = latency.estimateMs(route) * latency.getSlowdown(service) * busyFactor;
+    const latestStartAt = targetDeadlineAt - latestStartFactor * busyMs;
+    const isLate = latestStartAt <= now;
+    const waitUntil = isLate ? now + lateWaitShare * route.targetLatencyMs : latestStartAt;
+    return { priority: route.priority, isLate, waitUntil };
+  }
+
+  #calculatePollIntervalMs({ route }: AdmissionRequest): number {
+    const intervalMs = pollShare * this.#options.latency.estimateMs(route);
+    return Math.min(maxPollIntervalMs, Math.max(minPollIntervalMs, intervalMs));
+  }
+
+  #getOrCreateQueue(service: ServiceId): CapacityQueue {
+    const existing = this.#queues.get(service);
+    if (existing) return existing;
+    const queue = new CapacityQueue(this.#options.clock);
+    this.#queues.set(service, queue);
+    return queue;
+  }
+}
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -51,6 +51,9 @@
 
   #isHealthy = true;
 
+  /** Whether the last probe found that new connections wait for a slot or are reset. */
+  #isFull = false;
+
   readonly #pool: ConnectionPool;
 
   constructor(registration: Registration, maxConnections: number, clock: Clock) {
@@ -103,8 +106,10 @@
 
   /** Estimated calls running or queued there: those last reported and those sent since. */
   get load(): number {
-    if (!this.#report) return this.#inFlight;
-    return Math.max(this.#report.running + this.#report.waiting + this.#sentSinceReport, 0);
+    const fullLoad = this.#isFull ? this.#registration.slots : 0;
+    if (!this.#report) return Math.max(fullLoad, this.#inFlight);
+    const { running, waiting } = this.#report;
+    return Math.max(fullLoad, running + waiting + this.#sentSinceReport);
   }
 
   /** Exponentially decaying count of failures. */
@@ -133,6 +138,15 @@
     this.#reportedAt = this.#clock.now();
     this.#sentSinceReport = 0;
     this.#unreachableUntil = -Infinity;
+    this.#isFull = false;
+  }
+
+  /**
+   * Records that the endpoint accepts connections but has no slot for a probe on a new one. Without
+   * a report it would look idle.
+   */
+  recordFull(): void {
+    this.#isFull = true;
   }
 
   /** @param timeoutMs - Idle timeout of the endpoint, in milliseconds. */
@@ -167,6 +181,7 @@
     this.#unreachableUntil = this.#clock.now() + ejectionMs;
     this.#report = undefined;
     this.#reportedAt = -Infinity;
+    this.#isFull = false;
   }
 
   /** @returns The state of the endpoint as JSON, for operators. */
@@ -182,6 +197,7 @@
       inFlight: this.#inFlight,
       connections: this.#pool.size,
       isReachable: this.isReachable,
+      isFull: this.#isFull,
       isHealthy: this.#isHealthy,
       isWarm: this.isWarm,
       failureScore: this.failureScore,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import { RetryBudget } from '@dotterelpass/retries';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
+import { CallAdmission } from './admission.js';
 import { CallSender } from './sender.js';
 import type { Call } from './call.js';
 import { CallHandler } from './handler.js';
@@ -45,12 +46,6 @@
 /** Share of a fleet-wide limit that is used, since instances do not count at the same moments. */
 const limitSafetyFactor = 0.85;
 
-/**
- * Share of the retry allowance that is used: a restarted instance no longer knows what it has used,
- * and may use it again within the window.
- */
-const allowanceSafetyFactor = 0.45;
-
 /** Share of the connection limit of endpoints that is divided between the instances. */
 const connectionShare = 0.9;
 
@@ -73,6 +68,8 @@
 
   readonly #prober: Prober;
 
+  readonly #admission: CallAdmission;
+
   readonly #crashes: CrashTable;
 
   readonly #callerTimeouts = new CallerTimeouts();
@@ -89,10 +86,14 @@
 
   #fleetSize = 1;
 
+  /** Monotonic time, in milliseconds. */
+  readonly #startedAt: number;
+
   /** @param expectedInstances - Assumed fleet size until the number of instances is known. */
   constructor(options: GatewayOptions, expectedInstances: number) {
     this.#options = options;
     this.#fleetSize = Math.max(1, expectedInstances);
+    this.#startedAt = options.clock.now();
     const { clock, random, log, metrics, headerCodec, limits } = options;
     this.#limits = limits;
     this.#crashes = new CrashTable(clock, log);
@@ -101,6 +102,10 @@
       allowance: this.#calculateAllowance(),
       windowMs: limits.retryWindowMs,
     });
+    setTimeout(
+      () => this.#budget.setAllowance(this.#calculateAllowance()),
+      limits.retryWindowMs,
+    ).unref();
     this.#registry = new EndpointRegistry({
       clock,
       log,
@@ -112,6 +117,7 @@
       getMaxProbesPerSecond: () =>
         (this.#limits.probesPerSecond * limitSafetyFactor * this.#registry.size) / this.#fleetSize,
       findHealthPath: (service) => this.#config?.services.get(service)?.healthPath,
+      onLateReport: (service) => this.#admission.notifyCapacity(service),
     });
     const picker = new Picker({
       failureDomain: options.failureDomain,
@@ -120,8 +126,10 @@
       listEndpoints: (service) => this.#registry.listReady(service),
       probeEndpoint: (endpoint) => this.#prober.probe(endpoint),
     });
+    this.#admission = new CallAdmission({ clock, latency: this.#latency, picker });
     const sender = new CallSender({
       headerCodec,
+      admission: this.#admission,
       picker,
       latency: this.#latency,
       budget: this.#budget,
@@ -203,6 +211,7 @@
       callsInFlight: this.#callers.activeCalls,
       services: services.map((service) => ({
         service,
+        callsWaiting: this.#admission.countWaiting(service),
         retryRoom: this.#budget.allowsExtraAttempt([service]),
         endpoints: this.#registry.listReady(service).map((endpoint) => endpoint.readStatus()),
       })),
@@ -238,8 +247,14 @@
     this.#registry.close();
   }
 
+  /**
+   * Calculates the share of this instance in the retry allowance of the fleet. It is 0 during the
+   * first window: a restarted instance no longer knows what it has used before.
+   */
   #calculateAllowance(): number {
-    return (this.#limits.retryAllowance * allowanceSafetyFactor) / this.#fleetSize;
+    const { retryAllowance, retryWindowMs } = this.#limits;
+    if (this.#options.clock.now() - this.#startedAt < retryWindowMs) return 0;
+    return (retryAllowance * limitSafetyFactor) / this.#fleetSize;
   }
 
   #calculateConnectionLimit(service: ServiceId): number | undefined {
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -34,7 +34,7 @@
 const busySlotShare = 0.8;
 
 /** Factor on the expected time of an endpoint without spare capacity. */
-const busyFactor = 1.6;
+export const busyFactor = 1.6;
 
 /** Factor on the expected time of an endpoint that is warming up. */
 const coldFactor = 2;
@@ -52,6 +52,11 @@
   readonly route: Route;
   /** Endpoints of the earlier attempts; they are excluded. */
   readonly tried: readonly EndpointId[];
+  /**
+   * Whether to look in other failure domains when no local endpoint has spare capacity. Otherwise
+   * these are considered only when the local ones are slow.
+   */
+  readonly needsSpareCapacity?: boolean;
 }
 
 /** Picked endpoint with the inputs of the decision. */
@@ -103,20 +108,19 @@
     const input: RankingInput = { ...request, leastPenalty };
     const local = usable.filter(({ registration }) => registration.failureDomain === failureDomain);
     const bestLocal = await this.#pickLocal(local, input);
-    if (bestLocal && isFastEnough(bestLocal, request)) return bestLocal;
+    if (bestLocal && isGoodEnough(bestLocal, request)) return bestLocal;
     const remote = usable.filter(
       ({ registration }) => registration.failureDomain !== failureDomain,
     );
     const bestRemote = await this.#pickFromGroup(remote, input);
     if (!bestLocal) return bestRemote ?? this.#pickWithoutProbes(usable, input);
-    if (bestRemote && bestRemote.rankMs < remoteGainFactor * bestLocal.rankMs) return bestRemote;
-    return bestLocal;
+    return bestRemote && isWorthDistance(bestRemote, bestLocal) ? bestRemote : bestLocal;
   }
 
   /** Probes further local endpoints before any in other failure domains, which cost more. */
   async #pickLocal(local: readonly Endpoint[], input: RankingInput): Promise<Pick | undefined> {
     const first = await this.#pickFromGroup(local, input);
-    if (local.length <= maxProbesPerGroup || (first && isFastEnough(first, input))) return first;
+    if (local.length <= maxProbesPerGroup || (first && isGoodEnough(first, input))) return first;
     const second = await this.#pickFromGroup(
       local.filter(({ reportAgeMs }) => reportAgeMs > maxFreshAgeMs),
       input,
@@ -130,10 +134,11 @@
     const sampled = this.#selectCandidates(group, input);
     const stale = sampled.filter(({ reportAgeMs }) => reportAgeMs > maxFreshAgeMs);
     await waitForProbes(stale.map((endpoint) => this.#options.probeEndpoint(endpoint)));
-    return this.#findBest(
-      sampled.filter(({ isReachable }) => isReachable),
-      input,
-    );
+    // An endpoint that has not answered yet has no slot for the probe, or is cut off. Its last known
+    // load must not make it look better than those that have answered.
+    const answered = sampled.filter(({ reportAgeMs }) => reportAgeMs <= maxFreshAgeMs);
+    const reachable = sampled.filter(({ isReachable }) => isReachable);
+    return this.#findBest(answered.length > 0 ? answered : reachable, input);
   }
 
   #pickWithoutProbes(group: readonly Endpoint[], input: RankingInput): Pick | undefined {
@@ -197,10 +202,18 @@
   readonly leastPenalty: number;
 }
 
-function isFastEnough({ rankMs }: Pick, { route }: PickRequest): boolean {
+function isGoodEnough(
+  { endpoint, rankMs }: Pick,
+  { route, needsSpareCapacity }: PickRequest,
+): boolean {
+  if (needsSpareCapacity && !hasSpareCapacity(endpoint)) return false;
   return rankMs <= localLatencyShare * route.targetLatencyMs;
 }
 
+function isWorthDistance(remote: Pick, local: Pick): boolean {
+  return remote.rankMs < remoteGainFactor * local.rankMs;
+}
+
 function calculatePenalty({ failureScore, shedScore, isHealthy }: Endpoint): number {
   return (
     failureFactor ** failureScore * shedFactor ** shedScore * (isHealthy ? 1 : unhealthyFactor)
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -1,12 +1,9 @@
-import { request } from 'node:http';
-import type { IncomingMessage } from 'node:http';
 import type { Metrics } from '@dotterelpass/telemetry';
 import type { EndpointId, ServiceId } from '@dotterelpass/values';
-import type { HeaderCodec, ProbeResult } from './codec.js';
+import type { HeaderCodec, ResponseHead } from './codec.js';
 import type { Endpoint } from './endpoint.js';
-
-/** Timeout of a probe; endpoints respond to probes at once, whatever their load. */
-const probeTimeoutMs = 100;
+import { sendProbe } from './probe.js';
+import type { ProbeReply } from './probe.js';
 
 /** Burst size of the probe budget, as the number of seconds whose probes may be sent at once. */
 const burstSeconds = 1;
@@ -17,12 +14,15 @@
   /** Returns the probes a second that this instance may send to all endpoints together. */
   readonly getMaxProbesPerSecond: () => number;
   findHealthPath(service: ServiceId): string | undefined;
+  /** Called when an endpoint has reported its load later than the probe waits. */
+  onLateReport(service: ServiceId): void;
 }
 
 /** Probes endpoints for health and load, on the connections that calls use afterwards. */
 export class Prober {
   readonly #options: ProberOptions;
 
+  /** Probes in progress, also those whose result is known although the response is not there. */
   readonly #running = new Map<EndpointId, Promise<boolean>>();
 
   /** Tokens of the probe budget; each allows one probe. */
@@ -42,11 +42,12 @@
    * is reachable as far as is known.
    */
   async probe(endpoint: Endpoint): Promise<boolean> {
-    const { id } = endpoint.registration;
+    const { id, service } = endpoint.registration;
     const running = this.#running.get(id);
     if (running) return running;
-    if (!this.#consumeToken()) return endpoint.isReachable;
-    const probe = this.#probeEndpoint(endpoint).finally(() => this.#running.delete(id));
+    const path = this.#options.findHealthPath(service);
+    if (path === undefined || !this.#consumeToken()) return endpoint.isReachable;
+    const probe = this.#probeEndpoint(endpoint, path);
     this.#running.set(id, probe);
     return probe;
   }
@@ -70,21 +71,53 @@
     return true;
   }
 
-  async #probeEndpoint(endpoint: Endpoint): Promise<boolean> {
-    const { headerCodec, metrics } = this.#options;
-    const { id, service, address } = endpoint.registration;
-    const path = this.#options.findHealthPath(service);
-    if (path === undefined) return true;
-    const response = await sendProbe(endpoint, address, path);
-    if (response === undefined) {
+  async #probeEndpoint(endpoint: Endpoint, path: string): Promise<boolean> {
+    const { metrics } = this.#options;
+    const { id, service } = endpoint.registration;
+    let reply = await sendProbe(endpoint.pool, endpoint.registration.address, path);
+    if (reply.kind === 'stale-connection') {
+      metrics.recordEvent('probe-stale-connection', service);
+      // Whatever made this connection unusable may have affected the other idle ones, too.
+      endpoint.pool.closeIdle();
+      reply = await sendProbe(endpoint.pool, endpoint.registration.address, path);
+    }
+    if (reply.kind === 'waiting') {
+      void this.#handleLateReply(endpoint, reply);
+      return false;
+    }
+    this.#running.delete(id);
+    if (reply.kind === 'answered') return this.#recordAnswer(endpoint, reply.head);
+    if (reply.kind === 'full') {
+      metrics.recordEvent('probe-connection-refused', service);
+      endpoint.recordFull();
+    } else {
       metrics.recordEvent('probe-unanswered', service);
       endpoint.recordUnreachable();
-      return false;
     }
-    const result: ProbeResult = headerCodec.parseProbeResponse({
-      status: response.statusCode ?? 0,
-      headers: response.headers,
-    });
+    return false;
+  }
+
+  /** Waits for the answer of an endpoint that has accepted a connection without answering yet. */
+  async #handleLateReply(
+    endpoint: Endpoint,
+    { answer }: Extract<ProbeReply, { kind: 'waiting' }>,
+  ): Promise<void> {
+    const { metrics, onLateReport } = this.#options;
+    const { id, service } = endpoint.registration;
+    metrics.recordEvent('probe-waiting', service);
+    endpoint.recordFull();
+    const head = await answer;
+    this.#running.delete(id);
+    if (head === undefined) {
+      metrics.recordEvent('probe-unanswered', service);
+      endpoint.recordUnreachable();
+    } else if (this.#recordAnswer(endpoint, head)) onLateReport(service);
+  }
+
+  #recordAnswer(endpoint: Endpoint, head: ResponseHead): boolean {
+    const { headerCodec, metrics } = this.#options;
+    const { id, service } = endpoint.registration;
+    const result = headerCodec.parseProbeResponse(head);
     if (result.id !== undefined && result.id !== id) {
       metrics.recordEvent('probe-other-endpoint', service);
       endpoint.recordUnreachable();
@@ -96,31 +129,3 @@
     return true;
   }
 }
-
-async function sendProbe(
-  endpoint: Endpoint,
-  address: string,
-  path: string,
-): Promise<IncomingMessage | undefined> {
-  const [host = '', port = ''] = address.split(':');
-  return new Promise((resolve) => {
-    const outgoing = request({ agent: endpoint.pool.agent, host, port: Number(port), path });
-    const timer = setTimeout(() => {
-      outgoing.destroy();
-      endpoint.pool.removeQueued(outgoing);
-    }, probeTimeoutMs);
-    const finish = (response?: IncomingMessage) => {
-      clearTimeout(timer);
-      resolve(response);
-    };
-    outgoing.on('response', (response) => {
-      response.resume();
-      response.on('error', () => undefined);
-      response.on('end', () => finish(response));
-      response.on('close', () => finish(response.complete ? response : undefined));
-    });
-    outgoing.on('error', () => finish());
-    outgoing.on('close', () => finish());
-    outgoing.end();
-  });
-}
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,10 +1,10 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { copyEndToEndHeaders } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
 import type { RetryBudget } from '@dotterelpass/retries';
 import type { Metrics } from '@dotterelpass/telemetry';
 import type { Verdict } from '@dotterelpass/values';
 import { match } from 'ts-pattern';
+import type { Admission, CallAdmission } from './admission.js';
 import { readResponseBody } from './body.js';
 import { createCancelledFailure, combineVerdicts } from './call.js';
 import type { CallResponse, AttemptRecord, Call, CallResult, CallFailure } from './call.js';
@@ -24,11 +24,15 @@
 /** Minimum time before the deadline for a further attempt, relative to the estimated latency. */
 const minRemainingShare = 0.8;
 
-/** Time that a call waits for capacity before it is shed, relative to its target latency. */
-const capacityWaitShare = 0.1;
+/**
+ * Share of the retry budget that hedged requests may use. The rest is reserved for calls that have
+ * failed, which have no answer at all without a retry.
+ */
+const hedgeBudgetShare = 0.5;
 
 export interface CallSenderOptions {
   readonly headerCodec: HeaderCodec;
+  readonly admission: CallAdmission;
   readonly picker: Picker;
   readonly latency: LatencyEstimator;
   readonly budget: RetryBudget;
@@ -75,7 +79,7 @@
       const isRetry = countSent(records) > 0;
       if (isRetry && !this.#mayRetry(call, worstVerdict))
         return { ...lastFailure, verdict: worstVerdict };
-      const pick = await this.#pickInTime(call, records);
+      const pick = await this.#options.admission.admitCall(call, records);
       if (call.incoming.cancellation.aborted)
         return { ...createCancelledFailure(), verdict: worstVerdict };
       if (pick === undefined || pick === 'overload') {
@@ -101,25 +105,6 @@
     return { ...lastFailure, verdict: worstVerdict };
   }
 
-  /**
-   * Picks an endpoint that is expected to answer within the target latency. A call that would miss
-   * its target anyway is sent only to an endpoint with spare capacity, where it delays no other
-   * call: otherwise an overload would make all calls late.
-   */
-  async #pickInTime(
-    call: Call,
-    records: readonly AttemptRecord[],
-  ): Promise<Pick | 'overload' | undefined> {
-    const first = await this.#pick(call, records);
-    if (!first || canMeetTarget(call, first)) return first;
-    // An endpoint runs a call to its end at the speed that it had at the start, and a slow endpoint
-    // may be fast again soon.
-    await sleep(call.route.targetLatencyMs * capacityWaitShare);
-    const second = await this.#pick(call, records);
-    if (!second || canMeetTarget(call, second) || hasSpareCapacity(second.endpoint)) return second;
-    return 'overload';
-  }
-
   async #pick(call: Call, records: readonly AttemptRecord[]): Promise<Pick | undefined> {
     return this.#options.picker.pick({
       service: call.service,
@@ -138,13 +123,13 @@
     return status >= 500 && mayAttempt(call, records) && this.#mayRetry(call, 'ran');
   }
 
-  #mayRetry(call: Call, verdict: Verdict): boolean {
+  #mayRetry(call: Call, verdict: Verdict, budgetShare = 1): boolean {
     const { budget, latency } = this.#options;
     if (verdict !== 'not-run' && call.route.repeat !== 'idempotent') return false;
     if (call.body.kind === 'stream') return false;
     const remainingMs = call.deadlineAt - performance.now();
     if (remainingMs < minRemainingShare * latency.estimateMs(call.route)) return false;
-    return budget.allowsExtraAttempt([call.service]);
+    return budget.allowsExtraAttempt([call.service], budgetShare);
   }
 
   #recordExtraAttempt(call: Call, event: 'retry' | 'hedge'): void {
@@ -164,7 +149,8 @@
       route.targetLatencyMs,
     );
     if (!(await isSlowerThan(first, delayMs))) return first;
-    if (!mayAttempt(call, records) || !this.#mayRetry(call, 'may-have-run')) return first;
+    if (!mayAttempt(call, records)) return first;
+    if (!this.#mayRetry(call, 'may-have-run', hedgeBudgetShare)) return first;
     const secondPick = await this.#pick(call, records);
     if (!secondPick || !hasSpareCapacity(secondPick.endpoint) || incoming.cancellation.aborted)
       return first;
@@ -183,7 +169,7 @@
     records: AttemptRecord[],
     cancellation: Cancellation,
   ): Promise<CallResult> {
-    const { headerCodec, latency } = this.#options;
+    const { headerCodec, latency, admission } = this.#options;
     const startedAt = performance.now();
     const { id } = endpoint.registration;
     const record: AttemptRecord = {
@@ -215,6 +201,7 @@
       record.outcome = outcome;
       record.ms = Math.round(performance.now() - startedAt);
       endpoint.endCall(ending);
+      admission.notifyCapacity(call.service);
     };
     if (sentResult.isErr()) return this.#convertFailure(call, endpoint, sentResult.error, finish);
     const response = sentResult.value;
@@ -313,7 +300,7 @@
   return sentCount < route.maxAttempts && records.length - sentCount <= maxUnreachedAttempts;
 }
 
-function createUnsentFailure({ service }: Call, pick: 'overload' | undefined): CallFailure {
+function createUnsentFailure({ service }: Call, pick: Exclude<Admission, Pick>): CallFailure {
   const verdict = 'not-run';
   return pick === 'overload'
     ? {
@@ -330,11 +317,6 @@
       };
 }
 
-function canMeetTarget(call: Call, { endpoint, expectedMs }: Pick): boolean {
-  if (call.isUrgent && endpoint.load <= endpoint.registration.slots) return true;
-  return performance.now() + expectedMs <= call.targetDeadlineAt;
-}
-
 /** @returns The idle timeout in a `Keep-Alive` header, in milliseconds. */
 function parseIdleTimeoutMs(header: string | string[] | undefined): number | undefined {
   const seconds = /(?:^|[\s,;])timeout=(\d{1,6})/i.exec(String(header ?? ''))?.[1];
--- /dev/null
+++ b/packages/gateway/test/admission.test.ts
@@ -0,0 +1,320 @@
+import { Cancellation } from '@dotterelpass/proxy';
+import { makeRandom, systemClock } from '@dotterelpass/values';
+import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { CallAdmission } from '../src/admission.js';
+import type { Admission, AdmissionRequest } from '../src/admission.js';
+import type { Route, RouteName } from '../src/catalog.js';
+import { Endpoint } from '../src/endpoint.js';
+import { LatencyEstimator } from '../src/latency.js';
+import { Picker } from '../src/picker.js';
+
+const service = 'a' as ServiceId;
+const clock = systemClock;
+
+/** Factor by which work takes longer at an endpoint whose slots are all in use. */
+const fullSlowdown = 1.7;
+
+interface CallKind {
+  readonly route: Route;
+  readonly workMs: number;
+  readonly isUrgent: boolean;
+}
+
+const makeKind = (
+  name: string,
+  workMs: number,
+  targetLatencyMs: number,
+  priority: number,
+): CallKind => ({
+  route: {
+    name: name as RouteName,
+    host: 'h',
+    pathPrefix: `/${name}/`,
+    targets: [{ service, weight: 1 }],
+    repeat: 'once',
+    timeoutMs: 3 * targetLatencyMs,
+    targetLatencyMs,
+    maxAttempts: 2,
+    priority,
+  },
+  workMs,
+  isUrgent: priority === 0,
+});
+
+const payment = makeKind('payment', 150, 400, 0);
+const lookup = makeKind('lookup', 220, 600, 1);
+const report = makeKind('report', 880, 4000, 2);
+
+/** An endpoint that serves calls in the order of arrival, and slows down when it is full. */
+class SimulatedEndpoint {
+  readonly endpoint: Endpoint;
+
+  readonly #slots: number;
+
+  readonly #waiting: (() => void)[] = [];
+
+  #running = 0;
+
+  constructor(index: number, slots: number) {
+    this.#slots = slots;
+    const registration = {
+      id: `e${index}` as EndpointId,
+      service,
+      address: `127.0.0.1:${index + 1}`,
+      failureDomain: `z${index % 3}` as FailureDomain,
+      slots,
+      state: 'ready' as const,
+      startedAtMs: undefined,
+      warmupMs: 0,
+    };
+    this.endpoint = new Endpoint(registration, 4, clock);
+  }
+
+  reportLoad(): void {
+    const waiting = this.#waiting.length;
+    this.endpoint.recordReport({
+      running: this.#running,
+      waiting,
+      slots: this.#slots,
+      slowdown: 1,
+    });
+  }
+
+  async run(workMs: number): Promise<void> {
+    if (this.#running >= this.#slots) {
+      await new Promise<void>((resolve) => {
+        this.#waiting.push(resolve);
+      });
+    }
+    this.#running += 1;
+    const slowdown = this.#running >= this.#slots ? fullSlowdown : 1;
+    await sleep(workMs * slowdown);
+    this.#running -= 1;
+    this.#waiting.shift()?.();
+  }
+}
+
+async function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+interface SimulatedInstance {
+  readonly latency: LatencyEstimator;
+  readonly admission: CallAdmission;
+}
+
+/** Some instances that send calls to the same endpoints. */
+class Simulation {
+  readonly #endpoints: readonly SimulatedEndpoint[];
+
+  readonly #instances: readonly SimulatedInstance[];
+
+  readonly #random = makeRandom(5);
+
+  constructor(endpointCount: number, slots: number) {
+    this.#endpoints = Array.from(
+      { length: endpointCount },
+      (_, index) => new SimulatedEndpoint(index, slots),
+    );
+    const endpoints = this.#endpoints.map(({ endpoint }) => endpoint);
+    this.#instances = [0, 1, 2].map((index) => {
+      const latency = new LatencyEstimator();
+      const picker = new Picker({
+        failureDomain: `z${index}` as FailureDomain,
+        random: makeRandom(index),
+        latency,
+        listEndpoints: () => endpoints,
+        probeEndpoint: async (endpoint) => {
+          this.#find(endpoint).reportLoad();
+          return true;
+        },
+      });
+      return { latency, admission: new CallAdmission({ clock, latency, picker }) };
+    });
+  }
+
+  /**
+   * Runs calls of several kinds.
+   *
+   * @param durationMs - Time in which the calls arrive, at random intervals.
+   * @param loads - Kinds of calls and their rates, in calls per second.
+   * @param admit - Replaces the admission by the instances.
+   * @returns For each kind, the share of its calls that were answered within their target latency.
+   */
+  async measure(
+    durationMs: number,
+    loads: readonly { readonly kind: CallKind; readonly perSecond: number }[],
+    admit?: () => Promise<Admission>,
+  ): Promise<Record<string, number>> {
+    const shares = loads.map(async ({ kind, perSecond }) => {
+      const calls: Promise<boolean>[] = [];
+      const endAt = clock.now() + durationMs;
+      while (clock.now() < endAt) {
+        await sleep((-Math.log(1 - this.#random.next()) * 1000) / perSecond);
+        calls.push(this.#call(kind, admit));
+      }
+      const inTime = (await Promise.all(calls)).filter(Boolean).length;
+      return [kind.route.name, inTime / calls.length] as const;
+    });
+    const result = Promise.all(shares);
+    await vi.advanceTimersByTimeAsync(durationMs + 20_000);
+    return Object.fromEntries(await result);
+  }
+
+  /** Sends a call to the endpoint that is expected to answer first, whatever its load. */
+  async admitAtOnce(): Promise<Admission> {
+    this.#endpoints.forEach((endpoint) => endpoint.reportLoad());
+    const [best] = [...this.#endpoints].sort((a, b) => a.endpoint.load - b.endpoint.load);
+    return (
+      best && { endpoint: best.endpoint, expectedMs: 0, rankMs: 0, reportAgeMs: 0, slowdown: 1 }
+    );
+  }
+
+  close(): void {
+    this.#endpoints.forEach(({ endpoint }) => endpoint.close());
+  }
+
+  async #call(
+    { route, workMs, isUrgent }: CallKind,
+    admit?: () => Promise<Admission>,
+  ): Promise<boolean> {
+    const targetDeadlineAt = clock.now() + route.targetLatencyMs;
+    const { admission, latency } = this.#chooseInstance();
+    const request: AdmissionRequest = {
+      service,
+      route,
+      isUrgent,
+      targetDeadlineAt,
+      deadlineAt: clock.now() + route.timeoutMs,
+      incoming: { cancellation: new Cancellation() },
+    };
+    const pick = await (admit ? admit() : admission.admitCall(request, []));
+    if (pick === undefined || pick === 'overload') return false;
+    const { endpoint } = pick;
+    const { load } = endpoint;
+    const startedAt = clock.now();
+    endpoint.startCall();
+    await this.#find(endpoint).run(workMs * (0.7 + 0.6 * this.#random.next()));
+    endpoint.endCall('answered');
+    if (load < endpoint.registration.slots) {
+      latency.recordCall(route, clock.now() - startedAt, 1);
+    }
+    admission.notifyCapacity(service);
+    return clock.now() <= targetDeadlineAt;
+  }
+
+  #chooseInstance(): SimulatedInstance {
+    const index = Math.floor(this.#random.next() * this.#instances.length);
+    return this.#instances[index] as SimulatedInstance;
+  }
+
+  #find(endpoint: Endpoint): SimulatedEndpoint {
+    return this.#endpoints.find((other) => other.endpoint === endpoint) as SimulatedEndpoint;
+  }
+}
+
+beforeEach(() => {
+  vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] });
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+describe('CallAdmission', () => {
+  /**
+   * Pattern: for some seconds, long calls with ample time come faster than the endpoints can run
+   * them. Guards against long calls in the queues of endpoints, behind which short urgent calls
+   * miss their targets.
+   */
+  it.each([
+    {
+      name: 'long reports in front of short payments, two slots',
+      endpoints: 9,
+      slots: 2,
+      loads: [
+        { kind: report, perSecond: 12 },
+        { kind: payment, perSecond: 8 },
+      ],
+      atLeast: { payment: 0.95, report: 0.9 },
+    },
+    {
+      name: 'a burst of lookups beside payments, two slots',
+      endpoints: 9,
+      slots: 2,
+      loads: [
+        { kind: lookup, perSecond: 50 },
+        { kind: payment, perSecond: 8 },
+      ],
+      atLeast: { payment: 0.9, lookup: 0.6 },
+    },
+    {
+      name: 'a burst of lookups beside payments, three slots',
+      endpoints: 9,
+      slots: 3,
+      loads: [
+        { kind: lookup, perSecond: 90 },
+        { kind: payment, perSecond: 12 },
+      ],
+      atLeast: { payment: 0.9, lookup: 0.6 },
+    },
+  ])('keeps urgent calls in time: $name', async ({ endpoints, slots, loads, atLeast }) => {
+    const simulation = new Simulation(endpoints, slots);
+    const shares = await simulation.measure(10_000, loads);
+    const baseline = new Simulation(endpoints, slots);
+    const atOnce = await baseline.measure(10_000, loads, () => baseline.admitAtOnce());
+    Object.entries(atLeast).forEach(([name, share]) => {
+      expect(shares[name], name).toBeGreaterThanOrEqual(share);
+    });
+    expect(shares.payment).toBeGreaterThan(atOnce.payment as number);
+    simulation.close();
+    baseline.close();
+  });
+
+  /** Guards against refusals or waits while the endpoints have room. */
+  it('sends all calls in time when the endpoints have room', async () => {
+    const simulation = new Simulation(9, 2);
+    const loads = [
+      { kind: lookup, perSecond: 12 },
+      { kind: payment, perSecond: 4 },
+    ];
+    const shares = await simulation.measure(10_000, loads);
+    expect(shares).toEqual({ lookup: 1, payment: 1 });
+    simulation.close();
+  });
+
+  /** Guards against a waiting call that is still sent after its caller has disconnected. */
+  it('ends the wait of a call whose caller disconnects', async () => {
+    const simulation = new Simulation(1, 1);
+    const cancellation = new Cancellation();
+    const picker = { pick: vi.fn(async () => (await simulation.admitAtOnce()) as never) };
+    const admission = new CallAdmission({
+      clock,
+      latency: new LatencyEstimator(),
+      picker: picker as never,
+    });
+    const [full] = [await simulation.admitAtOnce()];
+    if (typeof full === 'object') full.endpoint.recordFull();
+    vi.spyOn(simulation, 'admitAtOnce').mockResolvedValue(full);
+    const admitted = admission.admitCall(
+      {
+        service,
+        route: report.route,
+        isUrgent: false,
+        targetDeadlineAt: clock.now() + 4000,
+        deadlineAt: clock.now() + 9000,
+        incoming: { cancellation },
+      },
+      [],
+    );
+    await vi.advanceTimersByTimeAsync(100);
+    expect(admission.countWaiting(service)).toBe(1);
+    cancellation.cancel();
+    expect(await admitted).toBeUndefined();
+    expect(admission.countWaiting(service)).toBe(0);
+    simulation.close();
+  });
+});
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -131,6 +131,11 @@
     this.#agent.setIdleMs(idleMs);
   }
 
+  /** Closes the connections without a request. */
+  closeIdle(): void {
+    this.#agent.closeIdle();
+  }
+
   /** Closes idle connections now, and each of the others when its request has ended. */
   drain(): void {
     this.#stallDetector.close();
--- a/packages/retries/src/budget.ts
+++ b/packages/retries/src/budget.ts
@@ -56,13 +56,16 @@
 
   /**
    * @param groups - Every group that the call belongs to.
+   * @param usableShare - Share of the budget up to which this kind of extra attempt is allowed, 0
+   * to 1; the rest is reserved for more important ones.
    * @returns Whether the budget of each group allows one more extra attempt.
    */
-  allowsExtraAttempt(groups: readonly string[]): boolean {
+  allowsExtraAttempt(groups: readonly string[], usableShare = 1): boolean {
+    const { share, allowance = 0 } = this.#limits;
     return groups.every((group) =>
       this.#findOrCreateWindow(group).allowsExtraAttempt(
-        this.#limits.share,
-        this.#limits.allowance,
+        share * usableShare,
+        allowance * usableShare,
       ),
     );
   }
