Use a subset of the endpoints and keep idle connections longer

Change: an instance prefers the endpoints that are first by rendezvous hashing, at least 8 of a service and as many as let four instances share each; the others serve when those have no capacity. Idle connections are kept for 0.8 of the timeout that the endpoint states. The lists of ready endpoints are rebuilt only when they have changed.

--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -17,9 +17,13 @@
 const connectTimeoutMs = 250;
 
 /** Share of the endpoint's idle timeout after which idle connections are closed on this side. */
-const idleTimeoutShare = 0.6;
+const idleTimeoutShare = 0.8;
 
-const maxIdleMs = 5000;
+/** Time after which idle connections are closed on this side if the endpoint states no timeout. */
+const defaultIdleMs = 5000;
+
+/** Maximum time for which idle connections are kept. */
+const maxIdleMs = 60_000;
 
 const maxFailureScore = 16;
 
@@ -62,7 +66,7 @@
     this.#warmUntil = clock.now() + registration.warmupMs;
     this.#pool = new ConnectionPool(registration.address, maxConnections, {
       connectTimeoutMs,
-      idleMs: maxIdleMs,
+      idleMs: defaultIdleMs,
       allowCloseDelimited: true,
       // Stalled idempotent calls are hedged instead.
       stallMs: Infinity,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 import { CallerServer } from '@dotterelpass/proxy';
 import { RetryBudget } from '@dotterelpass/retries';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
-import type { Clock, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
+import type { Clock, FailureDomain, InstanceId, Random, ServiceId } from '@dotterelpass/values';
 import { CallAdmission } from './admission.js';
 import { CallSender } from './sender.js';
 import type { Call } from './call.js';
@@ -12,6 +12,7 @@
 import type { Endpoint } from './endpoint.js';
 import { CallerTimeouts } from './timeouts.js';
 import { Picker } from './picker.js';
+import { EndpointPreference } from './preference.js';
 import { Prober } from './prober.js';
 import { RecentFailures } from './failures.js';
 import { EndpointRegistry } from './registry.js';
@@ -33,6 +34,7 @@
 
 export interface GatewayOptions {
   readonly headerCodec: HeaderCodec;
+  readonly instance: InstanceId;
   readonly failureDomain: FailureDomain;
   readonly limits: FleetLimits;
   readonly clock: Clock;
@@ -120,10 +122,11 @@
       onLateReport: (service) => this.#admission.notifyCapacity(service),
     });
     const picker = new Picker({
-      failureDomain: options.failureDomain,
+      preference: new EndpointPreference(options.instance, options.failureDomain),
       random,
       latency: this.#latency,
       listEndpoints: (service) => this.#registry.listReady(service),
+      getFleetSize: () => this.#fleetSize,
       probeEndpoint: (endpoint) => this.#prober.probe(endpoint),
     });
     this.#admission = new CallAdmission({ clock, latency: this.#latency, picker });
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -1,7 +1,8 @@
-import type { EndpointId, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
+import type { EndpointId, Random, ServiceId } from '@dotterelpass/values';
 import type { Route } from './catalog.js';
 import type { Endpoint } from './endpoint.js';
 import type { LatencyEstimator } from './latency.js';
+import type { EndpointPreference, EndpointSubsets } from './preference.js';
 
 /** Age up to which a load report is used without a new probe. */
 const maxFreshAgeMs = 20;
@@ -73,10 +74,13 @@
 }
 
 export interface PickerOptions {
-  readonly failureDomain: FailureDomain;
+  readonly preference: EndpointPreference;
   readonly random: Random;
   readonly latency: LatencyEstimator;
+  /** Returns the endpoints of a service; the list is replaced when they change. */
   listEndpoints(service: ServiceId): readonly Endpoint[];
+  /** Returns the number of instances. */
+  getFleetSize(): number;
   probeEndpoint(endpoint: Endpoint): Promise<boolean>;
 }
 
@@ -98,34 +102,32 @@
    * @returns The pick; undefined when the service has no endpoint that was not tried.
    */
   async pick(request: PickRequest): Promise<Pick | undefined> {
-    const { failureDomain, listEndpoints } = this.#options;
-    const candidates = listEndpoints(request.service).filter(
-      ({ registration: { id } }) => !request.tried.includes(id),
-    );
-    const reachable = candidates.filter(({ isReachable }) => isReachable);
-    const usable = reachable.length > 0 ? reachable : candidates;
-    const leastPenalty = Math.min(...usable.map(calculatePenalty));
+    const { preference, listEndpoints, getFleetSize } = this.#options;
+    const { service, tried } = request;
+    const subsets = preference.selectSubsets(listEndpoints(service), tried, getFleetSize());
+    const { local, remote } = subsets;
+    const leastPenalty = Math.min(...[...local, ...remote].map(calculatePenalty));
     const input: RankingInput = { ...request, leastPenalty };
-    const local = usable.filter(({ registration }) => registration.failureDomain === failureDomain);
-    const bestLocal = await this.#pickLocal(local, input);
+    const bestLocal = await this.#pickLocal(subsets, input);
     if (bestLocal && isGoodEnough(bestLocal, request)) return bestLocal;
-    const remote = usable.filter(
-      ({ registration }) => registration.failureDomain !== failureDomain,
-    );
     const bestRemote = await this.#pickFromGroup(remote, input);
-    if (!bestLocal) return bestRemote ?? this.#pickWithoutProbes(usable, input);
+    if (!bestLocal) return bestRemote ?? this.#pickWithoutProbes([...local, ...remote], input);
     return bestRemote && isWorthDistance(bestRemote, bestLocal) ? bestRemote : bestLocal;
   }
 
   /** Probes further local endpoints before any in other failure domains, which cost more. */
-  async #pickLocal(local: readonly Endpoint[], input: RankingInput): Promise<Pick | undefined> {
-    const first = await this.#pickFromGroup(local, input);
-    if (local.length <= maxProbesPerGroup || (first && isGoodEnough(first, input))) return first;
-    const second = await this.#pickFromGroup(
-      local.filter(({ reportAgeMs }) => reportAgeMs > maxFreshAgeMs),
-      input,
-    );
-    return second && (!first || second.rankMs < first.rankMs) ? second : first;
+  async #pickLocal(
+    { local, furtherLocal }: EndpointSubsets,
+    input: RankingInput,
+  ): Promise<Pick | undefined> {
+    let best = await this.#pickFromGroup(local, input);
+    if (best && isGoodEnough(best, input)) return best;
+    if (local.length > maxProbesPerGroup) {
+      const unprobed = local.filter(({ reportAgeMs }) => reportAgeMs > maxFreshAgeMs);
+      best = chooseBetter(best, await this.#pickFromGroup(unprobed, input));
+    }
+    if ((best && isGoodEnough(best, input)) || !input.needsSpareCapacity) return best;
+    return chooseBetter(best, await this.#pickFromGroup(furtherLocal, input));
   }
 
   /** Probes some endpoints of a group and returns the best reachable one. */
@@ -210,6 +212,11 @@
   return rankMs <= localLatencyShare * route.targetLatencyMs;
 }
 
+function chooseBetter(a: Pick | undefined, b: Pick | undefined): Pick | undefined {
+  if (!a || !b) return a ?? b;
+  return b.rankMs < a.rankMs ? b : a;
+}
+
 function isWorthDistance(remote: Pick, local: Pick): boolean {
   return remote.rankMs < remoteGainFactor * local.rankMs;
 }
--- /dev/null
+++ b/packages/gateway/src/preference.ts
@@ -0,0 +1,115 @@
+import { hash as hashOneShot } from 'node:crypto';
+import type { EndpointId, FailureDomain, InstanceId } from '@dotterelpass/values';
+import type { Endpoint } from './endpoint.js';
+
+/** Minimum number of endpoints of a service that an instance uses in its failure domain. */
+const minSubsetSize = 8;
+
+/** Mean number of instances of a failure domain that use the same local endpoint. */
+const meanUsers = 4;
+
+/** Number of endpoints in other failure domains that an instance considers for a call. */
+const remoteSubsetSize = 8;
+
+/** Limit of the cached ranks: ids change with each start of an endpoint. */
+const maxCachedRanks = 16_384;
+
+/** Endpoints of a service that an instance considers first, and the other local ones. */
+export interface EndpointSubsets {
+  readonly local: readonly Endpoint[];
+  readonly remote: readonly Endpoint[];
+  /** Local endpoints that are used when those of the subset have no capacity. */
+  readonly furtherLocal: readonly Endpoint[];
+}
+
+/** Endpoints of one service, each group in the order of preference. */
+interface OrderedEndpoints {
+  readonly local: readonly Endpoint[];
+  readonly remote: readonly Endpoint[];
+  readonly domainCount: number;
+}
+
+/**
+ * Chooses the endpoints that an instance uses, so that the number of its connections does not grow
+ * with the number of endpoints. Each instance has an order of its own by rendezvous hashing: the
+ * subsets of the instances overlap, and an endpoint that comes or goes changes few of them.
+ */
+export class EndpointPreference {
+  readonly #instance: InstanceId;
+
+  readonly #failureDomain: FailureDomain;
+
+  readonly #ranks = new Map<EndpointId, string>();
+
+  /** By the list of a service's endpoints, which is replaced when it changes. */
+  readonly #orders = new WeakMap<readonly Endpoint[], OrderedEndpoints>();
+
+  constructor(instance: InstanceId, failureDomain: FailureDomain) {
+    this.#instance = instance;
+    this.#failureDomain = failureDomain;
+  }
+
+  /**
+   * Selects the endpoints for a call.
+   *
+   * @param endpoints - All endpoints of the service; the list must not be modified afterwards.
+   * @param tried - Endpoints that are excluded.
+   * @param fleetSize - Number of instances in all failure domains.
+   */
+  selectSubsets(
+    endpoints: readonly Endpoint[],
+    tried: readonly EndpointId[],
+    fleetSize: number,
+  ): EndpointSubsets {
+    const { local, remote, domainCount } = this.#getOrCreateOrder(endpoints);
+    const localInstances = Math.max(1, fleetSize / domainCount);
+    const localSize = Math.max(
+      minSubsetSize,
+      Math.ceil((meanUsers * local.length) / localInstances),
+    );
+    const usableLocal = selectUsable(local, tried);
+    return {
+      local: usableLocal.slice(0, localSize),
+      remote: selectUsable(remote, tried).slice(0, remoteSubsetSize),
+      furtherLocal: usableLocal.slice(localSize),
+    };
+  }
+
+  #getOrCreateOrder(endpoints: readonly Endpoint[]): OrderedEndpoints {
+    const existing = this.#orders.get(endpoints);
+    if (existing) return existing;
+    const sorted = [...endpoints].sort((a, b) => (this.#rank(a) < this.#rank(b) ? -1 : 1));
+    const isLocal = ({ registration }: Endpoint) =>
+      registration.failureDomain === this.#failureDomain;
+    const domains = new Set(endpoints.map(({ registration }) => registration.failureDomain));
+    const order = {
+      local: sorted.filter(isLocal),
+      remote: sorted.filter((endpoint) => !isLocal(endpoint)),
+      domainCount: Math.max(1, domains.size),
+    };
+    this.#orders.set(endpoints, order);
+    return order;
+  }
+
+  #rank({ registration: { id } }: Endpoint): string {
+    const existing = this.#ranks.get(id);
+    if (existing !== undefined) return existing;
+    const rank = hashOneShot('sha1', `${this.#instance} ${id}`);
+    if (this.#ranks.size >= maxCachedRanks) this.#ranks.clear();
+    this.#ranks.set(id, rank);
+    return rank;
+  }
+}
+
+/** @returns The endpoints that were not tried and, unless there are none, are reachable. */
+function selectUsable(
+  endpoints: readonly Endpoint[],
+  tried: readonly EndpointId[],
+): readonly Endpoint[] {
+  const untried =
+    tried.length === 0
+      ? endpoints
+      : endpoints.filter(({ registration: { id } }) => !tried.includes(id));
+  const reachable = untried.filter(({ isReachable }) => isReachable);
+  return reachable.length > 0 ? reachable : untried;
+}
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -30,7 +30,10 @@
     return this.#endpoints.size;
   }
 
-  /** @returns The endpoints of a service that are registered and not draining. */
+  /**
+   * @returns The endpoints of a service that are registered and not draining. The list stays the
+   * same until they change.
+   */
   listReady(service: ServiceId): readonly Endpoint[] {
     return this.#readyByService.get(service) ?? [];
   }
@@ -46,10 +49,16 @@
    */
   setRegistrations(registrations: readonly Registration[]): void {
     const listed = new Map(registrations.map((registration) => [registration.id, registration]));
-    listed.forEach((registration) => this.#addOrUpdate(registration));
-    [...this.#endpoints.keys()]
-      .filter((id) => !listed.has(id))
-      .forEach((id) => this.#remove(id, 'missing'));
+    let hasChanged = false;
+    listed.forEach((registration) => {
+      if (this.#addOrUpdate(registration)) hasChanged = true;
+    });
+    const missing = [...this.#endpoints.keys()].filter((id) => !listed.has(id));
+    missing.forEach((id) => this.#remove(id, 'missing'));
+    if (hasChanged || missing.length > 0) this.#groupReady();
+  }
+
+  #groupReady(): void {
     const services = new Map<ServiceId, Endpoint[]>();
     this.#endpoints.forEach((endpoint) => {
       const { service, state } = endpoint.registration;
@@ -65,15 +74,17 @@
     this.#endpoints.forEach((endpoint) => endpoint.close());
   }
 
-  #addOrUpdate(registration: Registration): void {
+  /** @returns Whether the endpoint is new or its state has changed. */
+  #addOrUpdate(registration: Registration): boolean {
     const existing = this.#endpoints.get(registration.id);
     if (existing && isSameProcess(existing.registration, registration)) {
-      if (existing.registration.state !== registration.state) {
+      const hasChanged = existing.registration.state !== registration.state;
+      if (hasChanged) {
         const { id, service, state } = registration;
         this.#options.log.info('endpoint-state', { endpoint: id, service, state });
       }
       existing.setRegistration(registration);
-      return;
+      return hasChanged;
     }
     if (existing) this.#remove(registration.id, 'restarted');
     const connections =
@@ -88,6 +99,7 @@
       failureDomain,
       state,
     });
+    return true;
   }
 
   #remove(id: EndpointId, reason: string): void {
--- a/packages/gateway/test/admission.test.ts
+++ b/packages/gateway/test/admission.test.ts
@@ -1,6 +1,6 @@
 import { Cancellation } from '@dotterelpass/proxy';
 import { makeRandom, systemClock } from '@dotterelpass/values';
-import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
+import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { CallAdmission } from '../src/admission.js';
 import type { Admission, AdmissionRequest } from '../src/admission.js';
@@ -8,6 +8,7 @@
 import { Endpoint } from '../src/endpoint.js';
 import { LatencyEstimator } from '../src/latency.js';
 import { Picker } from '../src/picker.js';
+import { EndpointPreference } from '../src/preference.js';
 
 const service = 'a' as ServiceId;
 const clock = systemClock;
@@ -123,10 +124,11 @@
     this.#instances = [0, 1, 2].map((index) => {
       const latency = new LatencyEstimator();
       const picker = new Picker({
-        failureDomain: `z${index}` as FailureDomain,
+        preference: new EndpointPreference(`i${index}` as InstanceId, `z${index}` as FailureDomain),
         random: makeRandom(index),
         latency,
         listEndpoints: () => endpoints,
+        getFleetSize: () => 3,
         probeEndpoint: async (endpoint) => {
           this.#find(endpoint).reportLoad();
           return true;
--- a/packages/gateway/test/picker.test.ts
+++ b/packages/gateway/test/picker.test.ts
@@ -1,11 +1,12 @@
 import { ManualClock, makeRandom } from '@dotterelpass/values';
-import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
+import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, describe, expect, it } from 'vitest';
 import type { Route, RouteName } from '../src/catalog.js';
 import { Endpoint } from '../src/endpoint.js';
 import type { AttemptEnding } from '../src/endpoint.js';
 import { calculateHedgeDelayMs } from '../src/hedge.js';
 import { Picker, hasSpareCapacity } from '../src/picker.js';
+import { EndpointPreference } from '../src/preference.js';
 import { LatencyEstimator } from '../src/latency.js';
 
 const service = 'a' as ServiceId;
@@ -54,10 +55,11 @@
     });
   });
   const picker = new Picker({
-    failureDomain: 'z1' as FailureDomain,
+    preference: new EndpointPreference('i' as InstanceId, 'z1' as FailureDomain),
     random: makeRandom(3),
     latency: new LatencyEstimator(),
     listEndpoints: () => endpoints,
+    getFleetSize: () => 3,
     async probeEndpoint(endpoint) {
       const index = endpoints.indexOf(endpoint);
       const { running = 0, slowdown = 1, responds = true } = specs[index] as EndpointSpec;
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -161,6 +161,11 @@
   #takeIdle(fresh: boolean): Connection | undefined {
     const connection = this.#idle.at(-1);
     if (!connection) return undefined;
+    if (connection.idleSince < performance.now() - this.#limits.idleMs) {
+      // The others have been idle for longer. The endpoint may be about to close them.
+      this.closeIdle();
+      return undefined;
+    }
     if (fresh && connection.lastUsedAt < performance.now() - this.#limits.freshMs) return undefined;
     this.#idle.pop();
     // Unsolicited bytes would be parsed as the next response.
