Refuse calls that a stop would cut off, and bound pipelined requests

Any late call whose run is longer than the rest of the stop has that end.

Change: while an instance stops, a call needs five times its estimated latency before the end; otherwise it gets 503 with a short Retry-After, and was not passed on. Calls in flight have until 0.95 of the grace period.

Pipelined requests ran side by side and in order before, which tables of cases on real sockets now show, but their number was not bounded: 200,000 requests on one connection were all handled. Beyond 256 calls without a complete response, requests are not handled and the connection closes behind the earlier responses; beyond 4,096 more it closes at once. The log line of a call says how many were ahead of it on its connection.

During the first retry window of a process its allowance is 0.15 of its share instead of none: a restart used none of it, which refused calls that another endpoint would have taken.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -91,6 +91,9 @@
   /** Monotonic time, in milliseconds. */
   readonly #startedAt: number;
 
+  /** Monotonic time at which calls in flight are cut off, in milliseconds. */
+  #stopDeadline = Infinity;
+
   /** @param expectedInstances - Assumed fleet size until the number of instances is known. */
   constructor(options: GatewayOptions, expectedInstances: number) {
     this.#options = options;
@@ -150,6 +153,8 @@
       recentFailures: this.#recentFailures,
       log,
       metrics,
+      latency: this.#latency,
+      getStopDeadline: () => this.#stopDeadline,
       readCallerBounds: () => this.#config?.bounds ?? initialBounds,
     });
     this.#callers = new CallerServer((call) => handler.handleCall(call), {
@@ -246,18 +251,30 @@
     this.#crashes.banRequest(fingerprint, 'fleet');
   }
 
+  /**
+   * Starts to drain: callers are asked to close their connections, and calls that could be cut off
+   * by the stop are refused.
+   *
+   * @param deadlineAt - Monotonic time at which calls in flight are cut off, in milliseconds.
+   */
+  startDraining(deadlineAt: number): void {
+    this.#stopDeadline = deadlineAt;
+    this.#callers.startDraining();
+  }
+
   close(): void {
     this.#registry.close();
   }
 
   /**
-   * Calculates the share of this instance in the retry allowance of the fleet. It is 0 during the
-   * first window: a restarted instance no longer knows what it has used before.
+   * Calculates the share of this instance in the retry allowance of the fleet. It is smaller during
+   * the first window: a restarted instance no longer knows what it has used before.
    */
   #calculateAllowance(): number {
     const { retryAllowance, retryWindowMs } = this.#limits;
-    if (this.#options.clock.now() - this.#startedAt < retryWindowMs) return 0;
-    return (retryAllowance * limitSafetyFactor) / this.#fleetSize;
+    const isFirstWindow = this.#options.clock.now() - this.#startedAt < retryWindowMs;
+    const share = isFirstWindow ? 1 - limitSafetyFactor : limitSafetyFactor;
+    return (retryAllowance * share) / this.#fleetSize;
   }
 
   #calculateConnectionLimit(service: ServiceId): number | undefined {
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -11,6 +11,7 @@
 import type { HeaderCodec } from './codec.js';
 import type { CallerTimeouts } from './timeouts.js';
 import type { RecentFailures } from './failures.js';
+import type { LatencyEstimator } from './latency.js';
 import type { RouteTable } from './routes.js';
 
 /** `Retry-After` of a refusal while the instance has no configuration. */
@@ -28,6 +29,15 @@
 /** `Retry-After` of a refusal when the request is banned because it crashes endpoints. */
 const banRetryAfterMs = 60_000;
 
+/** `Retry-After` of a refusal because this instance stops; another one can serve the call. */
+const stoppingRetryAfterMs = 10;
+
+/**
+ * Time that a call must have before this instance stops, relative to its estimated latency. Some
+ * calls take several times as long as most, and none may be cut off by a planned stop.
+ */
+const stopSafetyFactor = 5;
+
 /** Margin between the deadline of a call and the end of its caller's timeout. */
 const deadlineMarginMs = 10;
 
@@ -40,9 +50,12 @@
   readonly crashes: CrashTable;
   readonly callerTimeouts: CallerTimeouts;
   readonly recentFailures: RecentFailures;
+  readonly latency: LatencyEstimator;
   readonly log: Logger;
   readonly metrics: Metrics;
   readCallerBounds(): CallerBounds;
+  /** Returns the monotonic time at which calls in flight are cut off; infinite without a stop. */
+  getStopDeadline(): number;
 }
 
 type CallTimes = Pick<Call, 'targetDeadlineAt' | 'deadlineAt'>;
@@ -88,6 +101,12 @@
       this.#refuseUnrouted(incoming, { status: 404, verdict: 'not-run', message });
       return;
     }
+    if (!this.#canFinish(route, startedAt)) {
+      const message = 'this instance stops before the call could be answered';
+      const refusal = { status: 503, verdict: 'not-run', message } as const;
+      this.#refuseUnrouted(incoming, refusal, stoppingRetryAfterMs);
+      return;
+    }
     const limitMs = Math.min(
       route.timeoutMs,
       callerTimeoutMs === undefined ? Infinity : callerTimeoutMs - deadlineMarginMs,
@@ -108,6 +127,12 @@
     this.#recordOutcome(incoming, id, route, timing, outcome, ms, records);
   }
 
+  /** Whether a call that arrives now is answered before this instance stops. */
+  #canFinish(route: Route, now: number): boolean {
+    const { latency, getStopDeadline } = this.#options;
+    return now + stopSafetyFactor * latency.estimateMs(route) <= getStopDeadline();
+  }
+
   async #sendThroughRoute(
     incoming: IncomingCall,
     id: Call['id'],
@@ -243,7 +268,7 @@
   }
 
   #recordOutcome(
-    { target }: IncomingCall,
+    { target, callsAhead }: IncomingCall,
     id: Call['id'],
     route: Route,
     timing: Readonly<Record<string, unknown>>,
@@ -269,6 +294,7 @@
       verdict,
       reason,
       ms: Math.round(ms),
+      ...(callsAhead > 0 ? { callsAhead } : {}),
       attempts: records,
     };
     if (reason === 'served') log.info('request', fields);
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -46,7 +46,7 @@
 const drainShare = 0.6;
 
 /** Share of the grace period after which calls in flight are aborted. */
-const closeShare = 0.92;
+const closeShare = 0.95;
 
 /** A load balancer instance: gateway, store replica, peers, readiness check and operator server. */
 export class Instance {
@@ -180,10 +180,10 @@
   async stop(): Promise<void> {
     if (this.#stopping) return;
     this.#stopping = true;
-    const { graceMs, log, store } = this.#options;
+    const { graceMs, log, store, clock } = this.#options;
     const { callers } = this.#gateway;
     log.info('stopping', { active: callers.activeCalls, graceMs });
-    callers.startDraining();
+    this.#gateway.startDraining(clock.now() + graceMs * closeShare);
     await sleep(graceMs * drainShare);
     await callers.close(graceMs * (closeShare - drainShare));
     this.#replica.stop();
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -16,6 +16,8 @@
   readonly response: ServerResponse;
   readonly id: RequestId;
   readonly target: RequestTarget;
+  /** Number of earlier calls on the connection whose responses must be sent first. */
+  readonly callsAhead: number;
   /** Cancelled when the caller disconnects before it has received the whole response. */
   readonly cancellation: Cancellation;
   /** Sends `100 Continue` to a caller that waits for it (`Expect: 100-continue`). */
@@ -39,25 +41,62 @@
    */
   readonly closeDelayMs: number;
   readonly maxHeaderBytes: number;
+  /**
+   * Maximum calls of a connection whose responses are not complete. Requests that are pipelined
+   * beyond it are not handled: the connection closes after the responses to the earlier ones, so
+   * that its caller sends them again.
+   */
+  readonly maxPipelinedCalls: number;
 }
 
+/** Requests beyond `maxPipelinedCalls` after which a connection is closed at once. */
+const maxDiscardedRequests = 4096;
+
 const defaultLimits: CallerLimits = {
   headersTimeoutMs: 10_000,
   idleMs: 60_000,
   lingerMs: 2000,
   closeDelayMs: 200,
   maxHeaderBytes: 16 * 1024,
+  maxPipelinedCalls: 256,
 };
 
 /** A connection of a caller. */
-interface CallerConnection {
+class CallerConnection {
   /** Calls whose response is not complete, oldest first. */
-  readonly calls: Map<ServerResponse, Cancellation>;
+  readonly calls = new Map<ServerResponse, Cancellation>();
+
+  #finalResponse: string | undefined;
+
+  #discardedRequests = 0;
+
   /**
    * Raw response to malformed input, sent after the responses to the calls before the input. It is
-   * empty when the input belongs to the body of the last call, whose request then emits the error.
+   * empty when the connection only ends then, and undefined when it stays open.
    */
-  finalResponse?: string;
+  get finalResponse(): string | undefined {
+    return this.#finalResponse;
+  }
+
+  get discardedRequests(): number {
+    return this.#discardedRequests;
+  }
+
+  /** The call whose response is sent last. */
+  get lastResponse(): ServerResponse | undefined {
+    return [...this.calls.keys()].at(-1);
+  }
+
+  /** @param response - Raw response with which the connection ends; it may be empty. */
+  setFinalResponse(response: string): void {
+    this.#finalResponse = response;
+  }
+
+  /** Counts a request that is not handled; the connection ends after the present calls. */
+  discardRequest(): void {
+    this.#discardedRequests += 1;
+    this.#finalResponse ??= '';
+  }
 }
 
 /** The HTTP server for callers. */
@@ -147,10 +186,7 @@
   /** Makes the last response on each connection ask the caller to close the connection. */
   startDraining(): void {
     this.#isDraining = true;
-    this.#connections.forEach(({ calls }) => {
-      const last = [...calls.keys()].at(-1);
-      if (last && !last.headersSent) last.shouldKeepAlive = false;
-    });
+    this.#connections.forEach(({ lastResponse }) => forbidKeepAlive(lastResponse));
   }
 
   /**
@@ -174,7 +210,7 @@
   }
 
   #addConnection(socket: Socket): void {
-    const connection: CallerConnection = { calls: new Map() };
+    const connection = new CallerConnection();
     this.#connections.set(socket, connection);
     socket.on('close', () => {
       this.#connections.delete(socket);
@@ -194,6 +230,11 @@
       socket.destroy();
       return;
     }
+    const callsAhead = connection.calls.size;
+    if (callsAhead >= this.#limits.maxPipelinedCalls || connection.discardedRequests > 0) {
+      this.#discardRequest(socket, connection);
+      return;
+    }
     // Node drops requests that are pipelined behind a response with `Connection: close`, so
     // only the last response may have that header.
     if (this.#isDraining) connection.calls.forEach((_signal, earlier) => allowKeepAlive(earlier));
@@ -218,12 +259,19 @@
       response,
       id,
       target: target.value,
+      callsAhead,
       cancellation: disconnection,
       acceptBody,
     };
     this.#handle(call).catch(() => socket.destroy());
   }
 
+  #discardRequest(socket: Socket, connection: CallerConnection): void {
+    forbidKeepAlive(connection.lastResponse);
+    connection.discardRequest();
+    if (connection.discardedRequests > maxDiscardedRequests) socket.destroy();
+  }
+
   #finishCall(socket: Socket, response: ServerResponse, connection: CallerConnection): void {
     if (!connection.calls.delete(response)) return;
     this.#activeCalls -= 1;
@@ -259,12 +307,12 @@
   #rejectInput(socket: Duplex, refusal: Refusal): void {
     const connection = this.#connections.get(socket);
     const response = formatRawResponse(chooseRequestId(undefined), refusal);
-    const last = [...(connection?.calls.keys() ?? [])].at(-1);
+    const last = connection?.lastResponse;
     if (!connection || !last) {
       socket.end(response);
       return;
     }
-    connection.finalResponse = last.req.complete ? response : '';
+    connection.setFinalResponse(last.req.complete ? response : '');
     if (last.req.complete) return;
     last.shouldKeepAlive = false;
     last.req.on('error', () => undefined);
@@ -273,6 +321,10 @@
   }
 }
 
+function forbidKeepAlive(response: ServerResponse | undefined): void {
+  if (response && !response.headersSent) response.shouldKeepAlive = false;
+}
+
 function allowKeepAlive(response: ServerResponse): void {
   if (!response.headersSent) response.shouldKeepAlive = true;
 }
--- a/packages/proxy/test/caller.test.ts
+++ b/packages/proxy/test/caller.test.ts
@@ -320,6 +320,94 @@
     expect(runs).toBe(0);
   });
 
+  describe('pipelining', () => {
+    let runs: string[] = [];
+    const pipelining = new CallerServer(
+      async ({ request, response, target }) => {
+        runs = [...runs, target.path];
+        const ms = Number(/ms=(\d+)/.exec(target.pathAndQuery)?.[1] ?? 0);
+        await new Promise((resolve) => {
+          setTimeout(resolve, ms);
+        });
+        if (target.path === '/fail') response.writeHead(502, { 'content-length': 4 }).end('lost');
+        else if (target.path === '/empty') response.writeHead(204).end();
+        else if (target.path === '/chunks') {
+          response.writeHead(200, { trailer: 'x-sum' }).write('part,');
+          response.addTrailers({ 'x-sum': '9' });
+          response.end('end');
+        } else if (target.path === '/large') response.end('Z'.repeat(300_000));
+        else response.end(request.method === 'HEAD' ? undefined : `<${target.path}>`);
+      },
+      { maxPipelinedCalls: 8 },
+    );
+    let pipeliningPort = 0;
+
+    beforeAll(async () => {
+      pipeliningPort = await pipelining.listen('127.0.0.1', 0);
+    });
+    beforeEach(() => {
+      runs = [];
+    });
+    afterAll(() => pipelining.close(100));
+
+    const get = (path: string, method = 'GET') => `${method} ${path} HTTP/1.1\r\n${hostHeader}\r\n`;
+
+    // Guards against a response that reaches the request of a neighbour on the connection.
+    it.each([
+      {
+        name: 'a slow first one',
+        requests: [get('/1?ms=200'), get('/2'), get('/3?ms=50')],
+        expected: /^HTTP[^<]*<\/1>HTTP[^<]*<\/2>HTTP[^<]*<\/3>$/,
+      },
+      {
+        name: 'a failed one in the middle',
+        requests: [get('/1'), get('/fail?ms=30'), get('/3')],
+        expected: /^HTTP\S* 200[^<]*<\/1>HTTP\S* 502[^<]*lostHTTP\S* 200[^<]*<\/3>$/,
+      },
+      {
+        name: 'HEAD and 204 between bodies',
+        requests: [get('/1?ms=30'), get('/2', 'HEAD'), get('/empty'), get('/4')],
+        expected: /^HTTP[^<]*<\/1>HTTP[^<]*HTTP\S* 204[^<]*<\/4>$/,
+      },
+      {
+        name: 'a large one and one with trailers between small ones',
+        requests: [get('/1?ms=30'), get('/large'), get('/chunks'), get('/4')],
+        expected:
+          /^HTTP[^<]*<\/1>HTTP[^<]*\n300000ZHTTP[^<]*part,[^<]*end[^<]*x-sum: 9\r\n\r\nHTTP[^<]*<\/4>$/,
+      },
+    ])('answers requests in their order: $name', async ({ requests, expected }) => {
+      const { text } = await exchange(pipeliningPort, [requests.join('')], (received) =>
+        received.endsWith(requests.length === 3 ? '</3>' : '</4>'),
+      );
+      expect(text.replace(/Z+/, (body) => `${body.length}Z`)).toMatch(expected);
+      expect(runs).toHaveLength(requests.length);
+    });
+
+    it('runs the requests of a connection side by side', async () => {
+      const startedAt = performance.now();
+      const requests = [1, 2, 3, 4, 5, 6].map((number) => get(`/${number}?ms=300`));
+      await exchange(pipeliningPort, [requests.join('')], (received) => received.endsWith('</6>'));
+      expect(performance.now() - startedAt).toBeLessThan(6 * 300);
+    });
+
+    // Guards against a caller that sends requests without reading the responses.
+    it('does not handle requests beyond the limit, and closes the connection behind the others', async () => {
+      const requests = Array.from({ length: 40 }, (_, index) => get(`/${index}?ms=50`));
+      const { text, end } = await exchange(pipeliningPort, [requests.join('')]);
+      expect(runs).toHaveLength(8);
+      expect(text.match(/<\/\d+>/g)).toEqual(runs.map((path) => `<${path}>`));
+      expect(text).toMatch(/Connection: close[^]*<\/7>$/);
+      expect(end).toBe('end');
+    });
+
+    it('closes the connection at once when far more requests arrive', async () => {
+      const requests = Array.from({ length: 10_000 }, () => get('/x?ms=2000'));
+      const { end } = await exchange(pipeliningPort, [requests.join('')]);
+      expect(runs).toHaveLength(8);
+      expect(end).not.toBe('open');
+    });
+  });
+
   it('serves a request that follows a response sent without `Connection: close`', async () => {
     const draining = new CallerServer(async ({ response }) => {
       response.write('begun, ');
