Make fewer calls to the store at a start and in an outage

In an outage two tasks of each instance asked the store; refused calls are priced as well.

Change: when the whole fleet starts for the first time, an instance waits up to 3 s for the state of the one that reads the store. The first watch comes a second after the first reading, by when most instances follow another. The first listed instance writes the peer key. A restarted process does not register again while its entry is listed with the same address. In an outage only the task that lists registrations asks, and the other one waits for it. The poll delay is calculated again at least every 400 ms, so that a reader speeds up as soon as others depend on it.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -15,6 +15,8 @@
   readonly className: ClassName;
   /** Whether the service also receives calls of a less urgent priority. */
   readonly isUrgent: boolean;
+  /** Whether the service also receives calls of a more urgent priority. */
+  readonly isDeferrable: boolean;
   readonly body: RequestBody;
   /** Monotonic time at which the target latency ends, in milliseconds. */
   readonly targetDeadlineAt: number;
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -33,9 +33,11 @@
 const peerKeyBytes = 24;
 
 /**
- * Probability that an instance without a peer key tries to write one: of instances that start
- * together, only one needs to.
+ * Time after which an instance that is not the first in the listing tries to write the peer key,
+ * and the probability of the attempt in each poll: of instances that start together, only one needs
+ * to.
  */
+const peerKeyPatienceMs = 1000;
 const peerKeyWriteProbability = 0.2;
 
 /** Another instance. */
@@ -90,10 +92,13 @@
 
   #registeredAt = -Infinity;
 
+  readonly #startedAt: number;
+
   #stopped = false;
 
   constructor(options: FleetOptions) {
     this.#options = options;
+    this.#startedAt = options.clock.now();
   }
 
   /** Digest of the known keys and their revisions. */
@@ -211,12 +216,28 @@
 
   /** Writes the registration of this instance and the peer key when the last listing lacks them. */
   async #writeMissingKeys(): Promise<void> {
+    const isDue = this.#options.clock.now() - this.#registeredAt > registerIntervalMs;
+    if (!this.#isRegistered() && isDue) await this.#register();
+    if (this.#peerKey === undefined && this.#shouldWritePeerKey()) await this.#writePeerKey();
+  }
+
+  /**
+   * Whether the last listing has the registration of this instance. That of an earlier process with
+   * the same address counts, too: it is written anew when its lease has expired.
+   */
+  #isRegistered(): boolean {
+    const { instance, self } = this.#options;
+    const item = this.#items.find(({ key }) => key === instancePrefix + instance);
+    return item !== undefined && item.value.toString() === JSON.stringify(self);
+  }
+
+  #shouldWritePeerKey(): boolean {
     const { instance, clock, random } = this.#options;
-    const isListed = this.#items.some(({ key }) => key === instancePrefix + instance);
-    const isDue = clock.now() - this.#registeredAt > registerIntervalMs;
-    if ((!isListed || this.#registeredAt === -Infinity) && isDue) await this.#register();
-    if (this.#peerKey === undefined && random.next() < peerKeyWriteProbability)
-      await this.#writePeerKey();
+    // The store lists keys in order.
+    const first = this.#items.find(({ key }) => key.startsWith(instancePrefix));
+    if (first?.key === instancePrefix + instance) return true;
+    const hasWaited = clock.now() - this.#startedAt > peerKeyPatienceMs;
+    return hasWaited && random.next() < peerKeyWriteProbability;
   }
 
   async #register(): Promise<void> {
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -171,6 +171,7 @@
       service,
       className: getCallClass(route),
       isUrgent: routes.isUrgent(route, service),
+      isDeferrable: routes.isDeferrable(route, service),
       body: body.value,
       targetDeadlineAt,
       deadlineAt,
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -29,6 +29,8 @@
   readonly operatorPort: number | undefined;
   /** Grace period between the stop signal and the end of the process, in milliseconds. */
   readonly graceMs: number;
+  /** Whether the whole fleet starts for the first time, so that no caller waits for it yet. */
+  readonly isFirstStart: boolean;
   readonly limits: FleetLimits;
   readonly store: KeyValueStore;
   readonly schema: StoreSchema;
@@ -42,6 +44,13 @@
 /** Assumed fleet size until the number of instances has been read from the store. */
 const expectedInstances = 8;
 
+/**
+ * Maximum time for which an instance waits for the state of another one when the fleet starts for
+ * the first time. The reading of the whole state by each instance is the largest part of the calls
+ * to the store.
+ */
+const firstStartWaitMs = 3000;
+
 /** Share of the grace period in which connections are still accepted. */
 const drainShare = 0.6;
 
@@ -154,7 +163,7 @@
   async start(): Promise<void> {
     const { callerAddress, readinessAddress, operatorPort } = this.#options;
     const { instance, incarnation, log } = this.#options;
-    this.#replica.start();
+    void this.#startReplica();
     void this.#fleet.start();
     void this.#peerSync.start();
     const [ip, port] = splitAddress(callerAddress);
@@ -196,6 +205,11 @@
     log.info('stopped');
   }
 
+  async #startReplica(): Promise<void> {
+    if (this.#options.isFirstStart) await this.#peerSync.waitForState(firstStartWaitMs);
+    if (!this.#stopping) this.#replica.start();
+  }
+
   #readStatus(): LogFields {
     const { instance, incarnation, clock } = this.#options;
     const { failingSince, registrationsAgeMs } = this.#replica;
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -47,6 +47,12 @@
 /** Factor on the expected time of an endpoint whose health probe fails. */
 const unhealthyFactor = 3;
 
+/**
+ * Factor on the rank of an endpoint without an idle connection when endpoints are selected to be
+ * probed: a new connection costs the endpoint time and waits for one of its slots.
+ */
+const newConnectionFactor = 1.4;
+
 /** Call for which an endpoint is picked. */
 export interface PickRequest {
   readonly service: ServiceId;
@@ -156,7 +162,10 @@
     const ranked = group
       .map((endpoint) => ({
         endpoint,
-        rank: this.#rank(endpoint, input).rankMs * (0.5 + this.#options.random.next()),
+        rank:
+          this.#rank(endpoint, input).rankMs *
+          (endpoint.pool.hasIdle ? 1 : newConnectionFactor) *
+          (0.5 + this.#options.random.next()),
       }))
       .sort((a, b) => a.rank - b.rank);
     return ranked.slice(0, maxProbesPerGroup).map(({ endpoint }) => endpoint);
--- a/packages/gateway/src/preference.ts
+++ b/packages/gateway/src/preference.ts
@@ -9,7 +9,7 @@
 const meanUsers = 4;
 
 /** Number of endpoints in other failure domains that an instance considers for a call. */
-const remoteSubsetSize = 8;
+const remoteSubsetSize = 4;
 
 /** Limit of the cached ranks: ids change with each start of an endpoint. */
 const maxCachedRanks = 16_384;
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -49,9 +49,21 @@
 /** Poll interval while this instance reads for others, which get its registrations later. */
 const sharedPollIntervalMs = 1200;
 
+/** Maximum time between two calculations of the poll delay. */
+const pollCheckMs = 400;
+
 /** Time after a request between two instances for which one is assumed to read for the other. */
 const readerRoleMs = 3000;
 
+/**
+ * Time between the first reading of the configuration and the first watch. Most instances find
+ * another one meanwhile that watches for them.
+ */
+const firstWatchDelayMs = 1000;
+
+/** Time between two checks whether the store has answered again. */
+const recoveryCheckMs = 100;
+
 /** Bounds of the back-off after a failed store call. */
 const minBackoffMs = 100;
 const maxBackoffMs = 400;
@@ -116,6 +128,9 @@
   /** Start of the present store outage; undefined without one. */
   #failingSince: number | undefined;
 
+  /** Whether the last reading of the registrations failed. */
+  #isListingFailing = false;
+
   #lastSuccessAt = -Infinity;
 
   readonly #startedAt: number;
@@ -214,11 +229,12 @@
     this.#configFreshUntil = Math.max(this.#configFreshUntil, now - catalogAgeMs + pollIntervalMs);
     const { revision, isWhole } = registrations;
     if (revision < 0 || revision < this.#changeLog.revision) return;
+    const isFirst = !this.hasRegistrations;
     this.#changeLog.applyChanges(registrations);
     this.#options.target.setRegistrations(this.#changeLog.registrations);
     // A full snapshot contains no removals, so it does not replace a listing from the store unless
-    // the store is unavailable.
-    if (!isWhole || this.#failingSince !== undefined) {
+    // there is nothing to remove or the store is unavailable.
+    if (!isWhole || isFirst || this.#failingSince !== undefined) {
       this.#registrationsReadAt = Math.max(this.#registrationsReadAt, now - listedAgeMs);
       this.#lastSuccessAt = Math.max(this.#lastSuccessAt, this.#registrationsReadAt);
     }
@@ -236,11 +252,19 @@
         await sleep(Math.ceil(freshMs));
         continue;
       }
+      if (this.#isListingFailing) {
+        // In an outage, one task finds out when the store is back: refused calls cost as well.
+        revision = undefined;
+        await sleep(recoveryCheckMs);
+        continue;
+      }
       if (revision === undefined) {
         const result = await store.read(schema.configKey);
         if (this.#recordResult('configuration', result)) {
+          const isFirst = this.#configCheckedAt === -Infinity;
           if (result.value.item) this.#applyConfig(result.value.item, 'store');
           this.#configCheckedAt = clock.now();
+          if (isFirst) this.#configFreshUntil = clock.now() + firstWatchDelayMs;
           revision = result.value.revision;
           backoff.reset();
         } else await this.#waitToRetry(backoff);
@@ -273,11 +297,13 @@
     while (!this.#stopped) {
       const waitMs = this.#calculatePollDelayMs();
       if (waitMs > 0) {
-        await sleep(waitMs);
+        // The delay is shorter as soon as another instance depends on this one.
+        await sleep(Math.min(waitMs, pollCheckMs));
         continue;
       }
       const startedAt = clock.now();
       const listing = await store.list(schema.registrationPrefix);
+      this.#isListingFailing = listing.isErr();
       if (!this.#recordResult('registrations', listing)) {
         await this.#waitToRetry(backoff);
         continue;
@@ -305,7 +331,7 @@
    */
   #calculatePollDelayMs(): number {
     const now = this.#options.clock.now();
-    const isSharedReader = now < this.#sharedReaderUntil && now >= this.#configFreshUntil;
+    const isSharedReader = now < this.#sharedReaderUntil && now >= this.#followingUntil;
     const nextAt =
       this.#registrationsReadAt + (isSharedReader ? sharedPollIntervalMs : pollIntervalMs);
     const endsGracePeriod =
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -13,8 +13,8 @@
 
   #hosts = new Map<string, readonly Route[]>();
 
-  /** Least urgent priority, which is the highest number, of the routes of each service. */
-  #lowestPriority = new Map<ServiceId, number>();
+  /** Priorities of the routes of each service; 0 is the most urgent. */
+  #priorities = new Map<ServiceId, ReadonlySet<number>>();
 
   /** Kept across configurations, so that the shares also hold when these change often. */
   #currentWeights = new Map<RouteName, CurrentWeights>();
@@ -42,13 +42,7 @@
     const names = new Set(config.routes.map(({ name }) => name));
     this.#currentWeights = new Map([...this.#currentWeights].filter(([name]) => names.has(name)));
     this.#hosts = hosts;
-    this.#lowestPriority = new Map();
-    config.routes.forEach(({ targets, priority }) => {
-      targets.forEach(({ service }) => {
-        const existing = this.#lowestPriority.get(service) ?? 0;
-        this.#lowestPriority.set(service, Math.max(existing, priority));
-      });
-    });
+    this.#priorities = groupPriorities(config.routes);
     this.#version = config.version;
     return true;
   }
@@ -65,7 +59,12 @@
 
   /** Whether a service also has routes of a less urgent priority than this route. */
   isUrgent({ priority }: Route, service: ServiceId): boolean {
-    return priority < (this.#lowestPriority.get(service) ?? 0);
+    return [...(this.#priorities.get(service) ?? [])].some((other) => other > priority);
+  }
+
+  /** Whether a service also has routes of a more urgent priority than this route. */
+  isDeferrable({ priority }: Route, service: ServiceId): boolean {
+    return [...(this.#priorities.get(service) ?? [])].some((other) => other < priority);
   }
 
   /**
@@ -102,3 +101,15 @@
     return weights;
   }
 }
+
+function groupPriorities(routes: readonly Route[]): Map<ServiceId, ReadonlySet<number>> {
+  const groups = new Map<ServiceId, Set<number>>();
+  routes.forEach(({ targets, priority }) => {
+    targets.forEach(({ service }) => {
+      const existing = groups.get(service);
+      if (existing) existing.add(priority);
+      else groups.set(service, new Set([priority]));
+    });
+  });
+  return groups;
+}
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -30,6 +30,12 @@
  */
 const hedgeBudgetShare = 0.5;
 
+/**
+ * Share of the retry budget that calls may use whose service also has more urgent ones. When an
+ * endpoint fails many calls, the budget is spent at once, whatever the calls are worth.
+ */
+const deferrableBudgetShare = 0.8;
+
 export interface CallSenderOptions {
   readonly headerCodec: HeaderCodec;
   readonly admission: CallAdmission;
@@ -123,13 +129,14 @@
     return status >= 500 && mayAttempt(call, records) && this.#mayRetry(call, 'ran');
   }
 
-  #mayRetry(call: Call, verdict: Verdict, budgetShare = 1): boolean {
+  #mayRetry(call: Call, verdict: Verdict, usableShare = 1): boolean {
     const { budget, latency } = this.#options;
     if (verdict !== 'not-run' && call.route.repeat !== 'idempotent') return false;
     if (call.body.kind === 'stream') return false;
     const remainingMs = call.deadlineAt - performance.now();
     if (remainingMs < minRemainingShare * latency.estimateMs(call.route)) return false;
-    return budget.allowsExtraAttempt([call.service], budgetShare);
+    const budgetShare = call.isDeferrable ? deferrableBudgetShare : 1;
+    return budget.allowsExtraAttempt([call.service], usableShare * budgetShare);
   }
 
   #recordExtraAttempt(call: Call, event: 'retry' | 'hedge'): void {
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -30,6 +30,9 @@
 /** Time for which the same fallback peers are asked. */
 const fallbackPeersTtlMs = 3000;
 
+/** Time between two checks whether another instance has sent its state. */
+const stateCheckMs = 50;
+
 const requestType = 'knowledge';
 
 export interface PeerSyncOptions {
@@ -113,6 +116,21 @@
     }
   }
 
+  /**
+   * Waits until another instance has sent fresh state, or this instance finds that it is the one
+   * that reads the store.
+   *
+   * @param maxMs - Maximum time to wait, in milliseconds.
+   */
+  async waitForState(maxMs: number): Promise<void> {
+    const { clock, replica } = this.#options;
+    const endAt = clock.now() + maxMs;
+    while (!this.#stopped && clock.now() < endAt && !replica.isFresh) {
+      if (this.#peers.size > 0 && this.#selectReaders().length === 0) return;
+      await sleep(stateCheckMs);
+    }
+  }
+
   /** Completes the pending long polls because this instance has newer state. */
   notifyChange(): void {
     this.#changeSequence += 1;
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -6,7 +6,7 @@
 import type { Clock, EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { beforeEach, describe, expect, it } from 'vitest';
+import { beforeEach, describe, expect, it, vi } from 'vitest';
 import type { GatewayConfig, Registration } from '../src/catalog.js';
 import type { RegistrationChanges } from '../src/changes.js';
 import { StoreReplica } from '../src/replica.js';
@@ -153,6 +153,13 @@
     expect(replica.isFresh).toBe(false);
   });
 
+  /** Guards against a listing of the store by each instance of a fleet that starts. */
+  it('with a full snapshot replaces the first read of the store', () => {
+    const replica = makeReplica();
+    replica.mergeUpdate(makeUpdate({ isWhole: true, items: [makeItem('e1', 5)] }), 'peer');
+    expect(replica.isFresh).toBe(true);
+  });
+
   it('removes an endpoint whose removal the peer reports', () => {
     const replica = makeReplica();
     replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5), makeItem('e2', 5)] }), 'peer');
@@ -174,6 +181,20 @@
   });
 });
 
+describe('a store outage', () => {
+  /** Guards against two tasks that both ask a store that is down: refused calls are counted too. */
+  it('is followed by the task that lists the registrations only', async () => {
+    const store = new UnavailableStore();
+    const reads = vi.spyOn(store, 'read');
+    const listings = vi.spyOn(store, 'list');
+    const replica = makeReplica(store, systemClock);
+    replica.start();
+    await vi.waitFor(() => expect(listings.mock.calls.length).toBeGreaterThan(4), 5000);
+    replica.stop();
+    expect(reads.mock.calls.length).toBeLessThanOrEqual(1);
+  });
+});
+
 describe('registrations that are missing after a store outage', () => {
   /**
    * Guards against calls to an endpoint that left during the outage. An instance must be up to date
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -112,6 +112,11 @@
     return this.#connections.size;
   }
 
+  /** Whether a connection is open that no request uses. */
+  get hasIdle(): boolean {
+    return this.#idle.length > 0;
+  }
+
   /** @param maxConnections - New maximum number of connections. */
   setMaxConnections(maxConnections: number): void {
     this.#limits = { ...this.#limits, maxConnections };
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -111,6 +111,11 @@
     return this.#agent.size;
   }
 
+  /** Whether a connection is open that no request uses. */
+  get hasIdle(): boolean {
+    return this.#agent.hasIdle;
+  }
+
   /** Agent for requests other than calls, such as health probes. */
   get agent(): Agent {
     return this.#agent;
