Bound answers without end, pass on long ones, and show settings in force

Such a body is now given back to its stream and passed on with backpressure, up to 64 MiB. A series of 1xx responses ends after 64 of them; before, it lasted until the deadline of the call. A body that ends with its connection counts as whole only after a clean end, also when it is streamed.

Settings: the users could not tell which instances work with which settings. Each instance now states the digest of its settings, the time since which they are in force, and the outcome of the last reload with its reason and the changed settings that need a restart: in its log, its metrics and /v1/status. /v1/fleet on any instance answers for all of them, as JSON or as a table, also while the store is down.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { isEndedCleanly } from '@dotterelpass/proxy';
+import { hasWholeBody } from '@dotterelpass/proxy';
 
 /** Bodies up to this size are buffered completely before the caller gets the first byte. */
 const maxBufferedBytes = 1024 * 1024;
@@ -34,31 +34,29 @@
       resolve({ kind: 'cut', message });
     };
     timer = setTimeout(() => fail('timed out while reading the response body'), timeoutMs);
-    response.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBufferedBytes)
-        fail(`response body without Content-Length exceeds ${maxBufferedBytes} bytes`);
-      else chunks.push(chunk);
-    });
-    response.on('error', (error) => fail(error.message));
-    response.on('end', () => {
+    const handleEnd = () => {
       if (!response.complete) return;
-      // Node reports a response without framing as complete however its connection ends.
-      if (!hasFraming(response) && !isEndedCleanly(response.socket)) {
+      if (!hasWholeBody(response)) {
         fail('connection was reset while reading a close-delimited response body');
         return;
       }
       clearTimeout(timer);
       resolve({ kind: 'whole', bytes: Buffer.concat(chunks) });
-    });
-    response.on('close', () => {
+    };
+    const handleClose = () => {
       if (!response.complete) fail('connection closed before the end of the response body');
-    });
+    };
+    const handleData = (chunk: Buffer) => {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size <= maxBufferedBytes) return;
+      // The body is longer than its headers told. What has been read is given back to the stream.
+      clearTimeout(timer);
+      response.off('data', handleData).off('end', handleEnd).off('close', handleClose).pause();
+      response.unshift(Buffer.concat(chunks));
+      resolve({ kind: 'large' });
+    };
+    response.on('data', handleData).on('end', handleEnd).on('close', handleClose);
+    response.on('error', (error) => fail(error.message));
   });
 }
-
-/** Whether the end of a response body is marked by anything but the end of the connection. */
-function hasFraming({ headers, statusCode = 0 }: IncomingMessage): boolean {
-  if (statusCode === 204 || statusCode === 304) return true;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -43,6 +43,9 @@
 
 const minCallMs = 1;
 
+/** Maximum size of a response without a length, in bytes; a longer one may have no end. */
+const maxStreamedBytes = 64 * 1024 * 1024;
+
 export interface CallHandlerOptions {
   readonly headerCodec: HeaderCodec;
   readonly routes: RouteTable;
@@ -238,6 +241,7 @@
     const { result } = await forwardResponseBody(upstreamResponse, response, {
       maxKeptBytes: 0,
       readAfterDisconnect: false,
+      maxUnboundedBytes: maxStreamedBytes,
       timeoutMs: Math.max(minCallMs, call.deadlineAt - performance.now()),
     });
     finish(result === 'cut' ? 'failed' : 'answered');
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,3 +5,5 @@
 export * from './instance.js';
 export * from './registry.js';
 export * from './routes.js';
+export * from './settings.js';
+export * from './summary.js';
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -12,6 +12,8 @@
 import { Gateway } from './gateway.js';
 import type { FleetLimits } from './gateway.js';
 import { OperatorServer } from './operator.js';
+import type { SettingsTracker } from './settings.js';
+import type { InstanceSummary } from './summary.js';
 import { PeerSync } from './sync.js';
 
 /** Identity, addresses and dependencies of an instance. */
@@ -32,6 +34,7 @@
   /** Whether the whole fleet starts for the first time, so that no caller waits for it yet. */
   readonly isFirstStart: boolean;
   readonly limits: FleetLimits;
+  readonly settings: SettingsTracker;
   readonly store: KeyValueStore;
   readonly schema: StoreSchema;
   readonly headerCodec: HeaderCodec;
@@ -125,6 +128,7 @@
       clock,
       random,
       log,
+      readSummary: () => this.#readSummary(),
     });
     this.#readiness = createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503).end();
@@ -132,6 +136,7 @@
     this.#operator = new OperatorServer({
       metrics,
       readStatus: () => this.#readStatus(),
+      collectFleet: async () => this.#peerSync.collectSummaries(),
       findRequest: (id) => gateway.findFailure(id),
     });
     metrics.addGauge(
@@ -140,6 +145,18 @@
       () => gateway.callers.activeCalls,
     );
     metrics.addGauge('configuration_version', 'Version in force.', () => gateway.version);
+    const { settings } = options;
+    metrics.addInfo(
+      'settings_info',
+      'Digest of the settings in force.',
+      'digest',
+      () => settings.status.digest,
+    );
+    metrics.addGauge(
+      'settings_since_seconds',
+      'Unix time since which the settings are in force, in seconds.',
+      () => Date.parse(settings.status.since) / 1000,
+    );
     metrics.addGauge('endpoints', 'Registered endpoints.', () => gateway.endpointCount);
     metrics.addGauge(
       'registrations_age_ms',
@@ -174,7 +191,14 @@
       this.#readiness.listen(readinessPort, readinessIp, resolve);
     });
     if (operatorPort !== undefined) await this.#operator.listen(readinessIp, operatorPort);
-    log.info('started', { instance, incarnation, callerAddress, readinessAddress, operatorPort });
+    log.info('started', {
+      instance,
+      incarnation,
+      callerAddress,
+      readinessAddress,
+      operatorPort,
+      settings: this.#options.settings.status.digest,
+    });
   }
 
   /** @param limits - New limits of the fleet. */
@@ -210,14 +234,24 @@
     if (!this.#stopping) this.#replica.start();
   }
 
-  #readStatus(): LogFields {
-    const { instance, incarnation, clock } = this.#options;
-    const { failingSince, registrationsAgeMs } = this.#replica;
+  #readSummary(): InstanceSummary {
+    const { instance, failureDomain, settings } = this.#options;
     return {
       instance,
-      incarnation,
+      failureDomain,
       isReady: this.isReady,
       isStopping: this.#stopping,
+      configVersion: this.#gateway.version,
+      settings: settings.status,
+    };
+  }
+
+  #readStatus(): LogFields {
+    const { incarnation, clock } = this.#options;
+    const { failingSince, registrationsAgeMs } = this.#replica;
+    return {
+      ...this.#readSummary(),
+      incarnation,
       storeLostMs: failingSince === undefined ? 0 : Math.round(clock.now() - failingSince),
       registrationsAgeMs: Math.round(registrationsAgeMs),
       storeReader: this.#peerSync.source,
--- a/packages/gateway/src/operator.ts
+++ b/packages/gateway/src/operator.ts
@@ -1,14 +1,20 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { LogFields, Metrics } from '@dotterelpass/telemetry';
+import { formatFleet } from './summary.js';
+import type { FleetAnswer } from './summary.js';
 
 const metricsPath = '/metrics';
 const statusPath = '/v1/status';
+const fleetPath = '/v1/fleet';
+const fleetTablePath = '/v1/fleet?format=table';
 const requestPrefix = '/v1/requests/';
 
 export interface OperatorOptions {
   readonly metrics: Metrics;
   readStatus(): LogFields;
+  /** Asks all instances which configuration and settings are in force there. */
+  collectFleet(): Promise<readonly FleetAnswer[]>;
   findRequest(id: string): LogFields | undefined;
 }
 
@@ -46,9 +52,14 @@
     } else if (url === metricsPath) {
       response.end(await this.#options.metrics.readText());
     } else if (url === statusPath) sendJson(response, 200, this.#options.readStatus());
-    else if (url.startsWith(requestPrefix)) this.#sendRequest(url, response);
+    else if (url === fleetPath) {
+      sendJson(response, 200, { instances: await this.#options.collectFleet() });
+    } else if (url === fleetTablePath) {
+      response.end(formatFleet(await this.#options.collectFleet()));
+    } else if (url.startsWith(requestPrefix)) this.#sendRequest(url, response);
     else {
-      const paths = [metricsPath, statusPath, `${requestPrefix}ID`].join(', ');
+      const known = [metricsPath, statusPath, fleetPath, fleetTablePath, `${requestPrefix}ID`];
+      const paths = known.join(', ');
       sendJson(response, 404, { error: `unknown path ${url}; known paths are ${paths}` });
     }
   }
--- /dev/null
+++ b/packages/gateway/src/summary.ts
@@ -0,0 +1,53 @@
+import type { FailureDomain, InstanceId } from '@dotterelpass/values';
+import type { SettingsStatus } from './settings.js';
+
+/** What an instance tells operators about itself, also through another instance. */
+export interface InstanceSummary {
+  readonly instance: InstanceId;
+  readonly failureDomain: FailureDomain;
+  readonly isReady: boolean;
+  readonly isStopping: boolean;
+  /** Version of the configuration in force; -1 before the first. */
+  readonly configVersion: number;
+  readonly settings: SettingsStatus;
+}
+
+/** Answer of one instance to a question to the whole fleet. */
+export type FleetAnswer =
+  InstanceSummary | { readonly instance: InstanceId; readonly error: string };
+
+/**
+ * Formats the answers of the fleet as a table for a terminal.
+ *
+ * @param answers - One answer for each known instance.
+ * @returns Lines of columns that are separated by at least two spaces.
+ */
+export function formatFleet(answers: readonly FleetAnswer[]): string {
+  const header = ['INSTANCE', 'READY', 'CONFIG', 'SETTINGS', 'SINCE', 'LAST RELOAD'];
+  const rows = [header, ...answers.map(formatAnswer)];
+  const widths = header.map((_, column) =>
+    Math.max(...rows.map((row) => (row[column] ?? '').length)),
+  );
+  const lines = rows.map((row) =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join('  ')
+      .trimEnd(),
+  );
+  return `${lines.join('\n')}\n`;
+}
+
+function formatAnswer(answer: FleetAnswer): readonly string[] {
+  if ('error' in answer) return [answer.instance, '?', '?', '?', '?', answer.error];
+  const { instance, isReady, isStopping, configVersion, settings } = answer;
+  const ready = isStopping ? 'stopping' : String(isReady);
+  const { digest, since, lastReload } = settings;
+  return [instance, ready, String(configVersion), digest, since, formatReload(lastReload)];
+}
+
+function formatReload(record: SettingsStatus['lastReload']): string {
+  if (!record) return '-';
+  const { at, cause, outcome, reason, needsRestart } = record;
+  const restart = needsRestart.length > 0 ? ` (restart needed: ${needsRestart.join(', ')})` : '';
+  return `${outcome} ${at} ${cause}${restart}${reason === undefined ? '' : `: ${reason}`}`;
+}
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -4,6 +4,7 @@
 import type { Clock, FailureDomain, Incarnation, InstanceId, Random } from '@dotterelpass/values';
 import type { StoreReplica, ReplicaUpdate } from './replica.js';
 import type { Fleet, FleetUpdate, Peer } from './fleet.js';
+import type { FleetAnswer, InstanceSummary } from './summary.js';
 
 /** Time for which the store must fail before fallback peers are asked. */
 const storeFailureDelayMs = 300;
@@ -35,6 +36,10 @@
 
 const requestType = 'knowledge';
 
+/** Type of the requests for the summary of another instance, and their timeout. */
+const summaryRequestType = 'summary';
+const summaryTimeoutMs = 800;
+
 export interface PeerSyncOptions {
   readonly instance: InstanceId;
   readonly incarnation: Incarnation;
@@ -46,6 +51,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
+  readSummary(): InstanceSummary;
 }
 
 /**
@@ -139,12 +145,34 @@
     longPolls.forEach((endPoll) => endPoll());
   }
 
+  /**
+   * Asks all known instances for their summaries at the same time.
+   *
+   * @returns The answers, sorted by the names of the instances.
+   */
+  async collectSummaries(): Promise<readonly FleetAnswer[]> {
+    const answers = await Promise.all(
+      [...this.#peers.keys()].map((peer) => this.#requestSummary(peer)),
+    );
+    return [this.#options.readSummary(), ...answers].sort((a, b) =>
+      a.instance < b.instance ? -1 : 1,
+    );
+  }
+
   stop(): void {
     this.#stopped = true;
     this.notifyChange();
     this.#transport?.close();
   }
 
+  async #requestSummary(peer: InstanceId): Promise<FleetAnswer> {
+    const transport = this.#transport;
+    if (!transport) return { instance: peer, error: 'the peer key is not known yet' };
+    const answer = await transport.request(peer, summaryRequestType, {}, summaryTimeoutMs);
+    if (answer.isErr()) return { instance: peer, error: answer.error.message };
+    return answer.value as unknown as InstanceSummary;
+  }
+
   #openTransport(peerKey: string): PeerTransport {
     const { instance, incarnation, ip, port, replica, fleet, clock, log } = this.#options;
     const transport = new PeerTransport({ instance, incarnation }, peerKey, log);
@@ -162,6 +190,7 @@
         heldMs,
       };
     });
+    transport.handle(summaryRequestType, async () => ({ ...this.#options.readSummary() }));
     transport.listen(ip, port).catch((error: Error) => {
       log.error('peer-port-unusable', { port, reason: error.message });
     });
--- a/packages/gateway/test/body.test.ts
+++ b/packages/gateway/test/body.test.ts
@@ -84,4 +84,27 @@
     expect(result.kind).toBe(expected);
     if (result.kind === 'whole') expect(result.bytes.toString()).toBe('hello');
   });
+
+  /** Guards against the loss of a long response that does not state its length. */
+  it('gives a response without a length back to its stream when it is too large to buffer', async () => {
+    const chunk = `10000\r\n${'x'.repeat(0x10000)}\r\n`;
+    const endpoint = await startEndpoint((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+      for (let sent = 0; sent < 40; sent++) socket.write(chunk);
+      socket.write('0\r\n\r\n');
+    });
+    const sendResult = await endpoint.send({
+      method: 'GET',
+      path: '/',
+      headers: ['Host', 'example'],
+      body: { kind: 'none' },
+      timeoutMs: 2000,
+    });
+    if (sendResult.isErr()) throw new Error(sendResult.error.message);
+    const response = sendResult.value;
+    expect((await readResponseBody(response, 2000)).kind).toBe('large');
+    let size = 0;
+    for await (const part of response) size += (part as Buffer).length;
+    expect(size).toBe(40 * 0x10000);
+  });
 });
--- a/packages/proxy/src/forward.ts
+++ b/packages/proxy/src/forward.ts
@@ -1,7 +1,25 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { isEndedCleanly } from './agent.js';
 import { copyTrailers } from './headers.js';
 import { abortResponse } from './refusal.js';
 
+/**
+ * Checks the end of a response body. Node reports a body without a length or chunks as complete
+ * however its connection has ended.
+ *
+ * @param response - A response whose body has ended.
+ * @returns Whether the body is whole as far as its framing shows.
+ */
+export function hasWholeBody(response: IncomingMessage): boolean {
+  const { headers, statusCode = 0, socket } = response;
+  const hasFraming =
+    statusCode === 204 ||
+    statusCode === 304 ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  return hasFraming || isEndedCleanly(socket);
+}
+
 /** How the forwarding of a response ended. */
 export interface ForwardOutcome {
   /**
@@ -21,6 +39,11 @@
   readonly readAfterDisconnect: boolean;
   /** Time limit for the whole response, in milliseconds. */
   readonly timeoutMs: number;
+  /**
+   * Maximum size of a body without a length, in bytes, which bounds a body without end; unlimited
+   * by default.
+   */
+  readonly maxUnboundedBytes?: number;
 }
 
 /**
@@ -57,6 +80,10 @@
 
   #keptBytes = 0;
 
+  #forwardedBytes = 0;
+
+  readonly #maxBytes: number;
+
   #isKeeping: boolean;
 
   #isDisconnected = false;
@@ -74,6 +101,8 @@
     this.#options = options;
     this.#resolve = resolve;
     this.#isKeeping = options.maxKeptBytes > 0;
+    const hasLength = endpointResponse.headers['content-length'] !== undefined;
+    this.#maxBytes = hasLength ? Infinity : (options.maxUnboundedBytes ?? Infinity);
   }
 
   start(): void {
@@ -84,11 +113,18 @@
       .on('close', this.#handleTruncation);
     // The error of an incomplete response is followed by `close`.
     this.#endpointResponse.on('error', () => undefined);
+    // The response is paused if another reader has given a part of it back.
+    this.#endpointResponse.resume();
     if (this.#callerResponse.destroyed) this.#handleDisconnect();
     else this.#callerResponse.on('drain', this.#handleDrain).on('close', this.#handleDisconnect);
   }
 
   readonly #handleData = (chunk: Buffer) => {
+    this.#forwardedBytes += chunk.length;
+    if (this.#forwardedBytes > this.#maxBytes) {
+      this.#handleTruncation();
+      return;
+    }
     if (this.#isKeeping) this.#keepChunk(chunk);
     if (!this.#isDisconnected && !this.#callerResponse.write(chunk)) this.#endpointResponse.pause();
   };
@@ -110,6 +146,10 @@
 
   readonly #handleEnd = () => {
     if (!this.#endpointResponse.complete) return;
+    if (!hasWholeBody(this.#endpointResponse)) {
+      this.#handleTruncation();
+      return;
+    }
     if (!this.#isDisconnected) {
       const { rawTrailers } = this.#endpointResponse;
       if (rawTrailers.length > 0) this.#callerResponse.addTrailers(copyTrailers(rawTrailers));
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -72,6 +72,9 @@
 
 const maxReportChars = 16 * 1024;
 
+/** Maximum number of informational responses (1xx) to one request. */
+const maxInformationalResponses = 64;
+
 /** Error codes of Node's HTTP parser, which mean that a response is not valid HTTP. */
 const parserErrorPattern = /^HPE_/;
 
@@ -230,7 +233,13 @@
           verdict = 'may-have-run';
         });
       });
-      outgoing.on('information', ({ statusCode }) => attempt.onInformation?.(statusCode));
+      let informationalResponses = 0;
+      outgoing.on('information', ({ statusCode }) => {
+        informationalResponses += 1;
+        if (informationalResponses > maxInformationalResponses) {
+          fail('bad-answer', `more than ${maxInformationalResponses} informational responses`);
+        } else attempt.onInformation?.(statusCode);
+      });
       outgoing.on('response', (response) => {
         if (!this.#limits.allowCloseDelimited && isCloseDelimited(response, attempt.method)) {
           fail('bad-answer', 'the response has neither a length nor chunks');
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -105,6 +105,29 @@
     this.#gauges.set(name, gauge);
   }
 
+  /**
+   * Registers a gauge with the value 1 that shows a text as a label.
+   *
+   * @param name - Metric name without the prefix `dotterelpass_`.
+   * @param help - Description of the text.
+   * @param label - Name of the label.
+   * @param read - Returns the present text.
+   */
+  addInfo(name: string, help: string, label: string, read: () => string): void {
+    if (this.#gauges.has(name)) throw new RangeError(`gauge ${name} is already registered`);
+    const gauge = new Gauge({
+      name: `dotterelpass_${name}`,
+      help,
+      labelNames: [label],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        this.set({ [label]: read() }, 1);
+      },
+    });
+    this.#gauges.set(name, gauge);
+  }
+
   /** @returns All metrics in the Prometheus text format. */
   async readText(): Promise<string> {
     return this.#registry.metrics();
