Check addresses in one place, and match rules by whole path segments

A rule for /s/search also applied to /s/searches: a payment could have been repeated under the rule of another path. Rules now match like routes, by whole segments; the new case fails before. The order of an instance's endpoints uses the ranking by hash that the library has already. Limits on the connections to endpoints follow the fleet size and the configuration after an endpoint was added.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -191,6 +191,7 @@
     if (!this.#routes.setConfig(config)) return;
     this.#config = config;
     this.#callers.setLimits(config.bounds);
+    this.#registry.updateConnectionLimits();
     const names = new Set(config.routes.map(({ name }) => name));
     this.#callerTimeouts.retainRoutes(names);
     this.#latency.retainRoutes(names);
@@ -236,6 +237,7 @@
     if (size === this.#fleetSize || size < 1) return;
     this.#fleetSize = size;
     this.#budget.setAllowance(this.#calculateAllowance());
+    this.#registry.updateConnectionLimits();
     this.#options.log.info('fleet-size', { size });
   }
 
--- a/packages/gateway/src/preference.ts
+++ b/packages/gateway/src/preference.ts
@@ -1,4 +1,4 @@
-import { hash as hashOneShot } from 'node:crypto';
+import { rankByHash } from '@dotterelpass/values';
 import type { EndpointId, FailureDomain, InstanceId } from '@dotterelpass/values';
 import type { Endpoint } from './endpoint.js';
 
@@ -11,9 +11,6 @@
 /** Number of endpoints in other failure domains that an instance considers for a call. */
 const remoteSubsetSize = 4;
 
-/** Limit of the cached ranks: ids change with each start of an endpoint. */
-const maxCachedRanks = 16_384;
-
 /** Endpoints of a service that an instance considers first, and the other local ones. */
 export interface EndpointSubsets {
   readonly local: readonly Endpoint[];
@@ -39,8 +36,6 @@
 
   readonly #failureDomain: FailureDomain;
 
-  readonly #ranks = new Map<EndpointId, string>();
-
   /** By the list of a service's endpoints, which is replaced when it changes. */
   readonly #orders = new WeakMap<readonly Endpoint[], OrderedEndpoints>();
 
@@ -78,7 +73,8 @@
   #getOrCreateOrder(endpoints: readonly Endpoint[]): OrderedEndpoints {
     const existing = this.#orders.get(endpoints);
     if (existing) return existing;
-    const sorted = [...endpoints].sort((a, b) => (this.#rank(a) < this.#rank(b) ? -1 : 1));
+    const byId = new Map(endpoints.map((endpoint) => [endpoint.registration.id, endpoint]));
+    const sorted = rankByHash(this.#instance, [...byId.keys()]).flatMap((id) => byId.get(id) ?? []);
     const isLocal = ({ registration }: Endpoint) =>
       registration.failureDomain === this.#failureDomain;
     const domains = new Set(endpoints.map(({ registration }) => registration.failureDomain));
@@ -90,15 +86,6 @@
     this.#orders.set(endpoints, order);
     return order;
   }
-
-  #rank({ registration: { id } }: Endpoint): string {
-    const existing = this.#ranks.get(id);
-    if (existing !== undefined) return existing;
-    const rank = hashOneShot('sha1', `${this.#instance} ${id}`);
-    if (this.#ranks.size >= maxCachedRanks) this.#ranks.clear();
-    this.#ranks.set(id, rank);
-    return rank;
-  }
 }
 
 /** @returns The endpoints that were not tried and, unless there are none, are reachable. */
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -70,6 +70,14 @@
     this.#readyByService = services;
   }
 
+  /** Applies the present connection limits of the services to all endpoints. */
+  updateConnectionLimits(): void {
+    this.#endpoints.forEach(({ pool, registration: { service } }) => {
+      const limit = this.#options.calculateConnectionLimit(service);
+      if (limit !== undefined) pool.setMaxConnections(limit);
+    });
+  }
+
   close(): void {
     this.#endpoints.forEach((endpoint) => endpoint.close());
   }
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -1,5 +1,6 @@
 import yargs from 'yargs';
 import { z } from 'zod';
+import { isAddress } from '@dotterelpass/values';
 
 /** One setting of a program, read from a flag or an environment variable. */
 export interface Setting<Schema extends z.ZodType = z.ZodType> {
@@ -141,12 +142,7 @@
         .max(65535, 'must be a port from 0 to 65535'),
     ),
   ip: z.ipv4('must be an IPv4 address, like 127.0.0.1'),
-  address: z
-    .string()
-    .regex(
-      /^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
-      'must be an IPv4 address and port, like 127.0.0.1:80',
-    ),
+  address: z.string().refine(isAddress, 'must be an IPv4 address and port, like 127.0.0.1:80'),
   milliseconds: z
     .union(
       [z.string().regex(/^\d+(?:\.\d+)?$/, 'must be a number of milliseconds'), z.number()],
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -23,6 +23,14 @@
 }
 
 describe('readSettings', () => {
+  /** Guards against an address that no connection can reach. */
+  it.each(['10.0.0.256:80', '10.0.0.1:65536', '10.0.0.1', '10.0.0:80', '10.0.0.1:80:1', 'a:80'])(
+    'rejects the address %s',
+    async (text) => {
+      expect(await read(['--platform', text])).toMatchObject({ kind: 'error' });
+    },
+  );
+
   /** Guards against a wrong precedence of flag, variable and default. */
   it.each([
     { args: [], env: {}, expected: { callerPort: 8080, json: false } },
--- a/packages/values/src/index.ts
+++ b/packages/values/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js';
 export * from './ids.js';
 export * from './verdict.js';
 export * from './clock.js';
--- a/packages/values/src/service.ts
+++ b/packages/values/src/service.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { isAddress } from './address.js';
 import { namePattern } from './ids.js';
 import type { ClassName, EndpointId, FailureDomain, ServiceId, TenantId } from './ids.js';
 
@@ -6,13 +7,7 @@
   .string()
   .regex(namePattern, 'must be 1 to 64 lower-case letters, digits and inner hyphens');
 
-const address = z
-  .string()
-  .regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'must be an IPv4 address and port, like 127.0.0.1:80')
-  .refine((text) => {
-    const [ip = '', port = ''] = text.split(':');
-    return ip.split('.').every((octet) => Number(octet) <= 255) && Number(port) <= 65535;
-  }, 'has an octet above 255 or a port above 65535');
+const address = z.string().refine(isAddress, 'must be an IPv4 address and port, like 127.0.0.1:80');
 
 const pathPrefix = z
   .string()
@@ -111,7 +106,7 @@
   const rule = service.rules.find(
     (candidate) =>
       (candidate.methods.length === 0 || candidate.methods.includes(method)) &&
-      path.startsWith(candidate.pathPrefix),
+      matchesPrefix(path, candidate.pathPrefix),
   );
   if (rule) return rule;
   return idempotentMethods.includes(method) ? defaultRules.idempotent : defaultRules.once;
--- a/packages/values/test/values.test.ts
+++ b/packages/values/test/values.test.ts
@@ -46,6 +46,9 @@
   /** Guards against duplicate payments: an unsafe method without a rule is not idempotent. */
   it.each([
     { method: 'POST', path: '/s/search/x', name: 'search', repeat: 'idempotent' },
+    { method: 'POST', path: '/s/search', name: 'search', repeat: 'idempotent' },
+    // Guards against a payment that is repeated under the rule of a path with the same beginning.
+    { method: 'POST', path: '/s/searches', name: 'pay', repeat: 'once' },
     { method: 'POST', path: '/s', name: 'pay', repeat: 'once' },
     { method: 'GET', path: '/s', name: 'default-idempotent', repeat: 'idempotent' },
     { method: 'PUT', path: '/s', name: 'default-once', repeat: 'once' },
