--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -15,6 +15,12 @@
  */
 const lateWaitShare = 0.1;
 
+/**
+ * Time that a call waits for a local endpoint before it looks for capacity in other failure
+ * domains, relative to its target latency: traffic between failure domains costs money.
+ */
+const localWaitShare = 0.15;
+
 /** Time between two looks for an endpoint, relative to the estimated latency, and its bounds. */
 const pollShare = 0.1;
 const minPollIntervalMs = 10;
@@ -81,17 +87,20 @@
     queue: CapacityQueue,
     waitingCall: WaitingCall,
   ): Promise<Admission> {
+    const { clock } = this.#options;
     const { cancellation } = call.incoming;
+    const localUntil = clock.now() + localWaitShare * call.route.targetLatencyMs;
     const waiter = queue.add(waitingCall);
     const wake = () => waiter.wake();
     cancellation.addListener(wake);
     try {
       for (;;) {
         await queue.waitForTurn(waiter, this.#calculatePollIntervalMs(call));
-        const isTimeUp = this.#options.clock.now() >= waitingCall.waitUntil;
+        const now = clock.now();
+        const isTimeUp = now >= waitingCall.waitUntil;
         if (cancellation.aborted) return undefined;
         if (!isTimeUp && !queue.isFirst(waiter)) continue;
-        const pick = await this.#pick(call, records, true);
+        const pick = await this.#pick(call, records, isTimeUp || now >= localUntil);
         if (!pick || this.#canStart(call, pick, isTimeUp || waitingCall.isLate)) return pick;
         if (isTimeUp) return this.#mayQueueAtEndpoint(call, pick) ? pick : 'overload';
       }
