--- a/packages/gateway/test/picker.test.ts
+++ b/packages/gateway/test/picker.test.ts
@@ -24,7 +24,7 @@
   readonly slowdown?: number;
   readonly outcomes?: readonly AttemptEnding[];
   readonly warmupMs?: number;
-  readonly responds?: boolean;
+  readonly responds?: boolean | 'late';
 }
 
 interface Fixture {
@@ -64,6 +64,7 @@
       const index = endpoints.indexOf(endpoint);
       const { running = 0, slowdown = 1, responds = true } = specs[index] as EndpointSpec;
       probed.push(`e${index}`);
+      if (responds === 'late') return new Promise(() => {});
       if (responds) endpoint.recordReport({ running, waiting: 0, slots: 3, slowdown });
       else endpoint.recordUnreachable();
       return responds;
@@ -155,6 +156,25 @@
     expect(probed).toHaveLength(4);
   });
 
+  /** Guards against a busy or dark endpoint that looks idle while its probe is not answered. */
+  it('prefers an endpoint that has answered to one that has not answered yet', async () => {
+    const { picker } = makePicker([{ responds: 'late' }, { running: 2, slowdown: 2 }]);
+    expect((await picker.pick(request))?.endpoint.registration.id).toBe('e1');
+  });
+
+  /** Guards against a call that waits while endpoints elsewhere have room. */
+  it.each([
+    { needsSpareCapacity: false, expected: 'e0' },
+    { needsSpareCapacity: true, expected: 'e1' },
+  ])(
+    'picks $expected when all local slots are in use and spare capacity is needed: $needsSpareCapacity',
+    async ({ needsSpareCapacity, expected }) => {
+      const { picker } = makePicker([{ running: 2 }, { domain: 'z2' }]);
+      const pick = await picker.pick({ ...request, needsSpareCapacity });
+      expect(pick?.endpoint.registration.id).toBe(expected);
+    },
+  );
+
   it('reuses a load report only for a short time', async () => {
     const { picker, probed } = makePicker([{}]);
     await picker.pick(request);
--- a/packages/gateway/test/routes.test.ts
+++ b/packages/gateway/test/routes.test.ts
@@ -79,6 +79,17 @@
     expect(table.isUrgent(lessUrgent, 'a' as ServiceId)).toBe(false);
     expect(table.isUrgent(urgent, 'b' as ServiceId)).toBe(false);
   });
+
+  /** Guards against calls that use up the retry budget of more urgent ones. */
+  it('treats a route as deferrable if its service has more urgent routes', () => {
+    const table = new RouteTable();
+    const urgent = makeRoute('/u/', { priority: 0 });
+    const lessUrgent = makeRoute('/o/', { priority: 2 });
+    table.setConfig(makeCatalog(1, urgent, lessUrgent));
+    expect(table.isDeferrable(lessUrgent, 'a' as ServiceId)).toBe(true);
+    expect(table.isDeferrable(urgent, 'a' as ServiceId)).toBe(false);
+    expect(table.isDeferrable(lessUrgent, 'b' as ServiceId)).toBe(false);
+  });
 });
 
 describe('CallerTimeouts', () => {
--- a/packages/proxy/test/pool.test.ts
+++ b/packages/proxy/test/pool.test.ts
@@ -162,6 +162,24 @@
     expect(pool.size).toBe(0);
   });
 
+  // Guards against a request on a connection that the endpoint closes at that moment: the check for
+  // expired connections runs only from time to time.
+  it('does not use a connection that has been idle for longer than its limit', async () => {
+    const { pool } = await openEndpoint({ idleMs: 500 });
+    expect(await read(pool)).toBe('0');
+    await wait(520);
+    expect(await read(pool)).toBe('1');
+  });
+
+  it('ends a series of informational responses', async () => {
+    const server = createTcp((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => socket.write('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(100)));
+    });
+    const pool = await listen(server);
+    expect(await read(pool)).toBe('bad-answer may-have-run');
+  });
+
   // Guards against losing a `once` call on a connection that has stalled or is about to close.
   it('uses only a fresh connection when the attempt requires one', async () => {
     const { pool } = await openEndpoint({ freshMs: 60, maxConnections: 1 });
--- a/packages/retries/test/retries.test.ts
+++ b/packages/retries/test/retries.test.ts
@@ -159,6 +159,26 @@
   });
 });
 
+describe('a share of the retry budget', () => {
+  /** Guards against hedged requests that leave no budget for calls that have failed. */
+  it.each([
+    { usableShare: 1, allowed: 12 },
+    { usableShare: 0.5, allowed: 6 },
+  ])('of $usableShare allows $allowed extra attempts', ({ usableShare, allowed }) => {
+    const limits = { share: 0.1, allowance: 2, windowMs: 10_000 };
+    const budget = new RetryBudget(new ManualClock(), limits);
+    for (let call = 0; call < 100; call++) budget.recordCall(['a']);
+    let made = 0;
+    while (budget.allowsExtraAttempt(['a'], usableShare)) {
+      budget.recordExtraAttempt(['a']);
+      made += 1;
+    }
+    expect(made).toBe(allowed);
+    // What one kind of attempt leaves is there for the others.
+    expect(budget.allowsExtraAttempt(['a'])).toBe(usableShare < 1);
+  });
+});
+
 describe('Hedger', () => {
   /** Guards against hedged requests based on too few samples. */
   it('waits for the 95th percentile after enough responses', () => {
