Name the parts of a call that its admission needs, and clean two names

Types and names only; the compiled program does the same. The request of an admission is an interface in place of a mapped type, refusals before the sending are called early, and the verbs are those of docs/verbs.md.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,7 +1,9 @@
+import type { Cancellation } from '@dotterelpass/proxy';
 import type { Clock, ServiceId } from '@dotterelpass/values';
-import type { AttemptRecord, Call } from './call.js';
+import type { AttemptRecord } from './call.js';
 import { CapacityQueue } from './capacity.js';
 import type { WaitingCall } from './capacity.js';
+import type { Route } from './catalog.js';
 import type { LatencyEstimator } from './latency.js';
 import { busyFactor, hasSpareCapacity } from './picker.js';
 import type { Pick, Picker } from './picker.js';
@@ -30,9 +32,14 @@
 export type Admission = Pick | 'overload' | undefined;
 
 /** The parts of a call on which its admission depends. */
-export type AdmissionRequest = {
-  readonly [Key in 'service' | 'route' | 'isUrgent' | 'targetDeadlineAt' | 'deadlineAt']: Call[Key];
-} & { readonly incoming: { readonly cancellation: Call['incoming']['cancellation'] } };
+export interface AdmissionRequest {
+  readonly service: ServiceId;
+  readonly route: Route;
+  readonly isUrgent: boolean;
+  /** Monotonic time at which the target latency ends, in milliseconds. */
+  readonly targetDeadlineAt: number;
+  readonly incoming: { readonly cancellation: Cancellation };
+}
 
 export interface CallAdmissionOptions {
   readonly clock: Clock;
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -90,7 +90,7 @@
     const { id, timeoutMs: callerTimeoutMs } = headerCodec.parseRequestHeaders(request.headers);
     if (routes.version < 0) {
       const message = 'this instance has not loaded a configuration yet';
-      this.#refuseUnrouted(
+      this.#refuseEarly(
         incoming,
         { status: 503, verdict: 'not-run', message },
         noConfigRetryAfterMs,
@@ -101,13 +101,13 @@
     const route = routes.findRoute(target.host, target.path);
     if (!route) {
       const message = `no route matches ${target.host}${target.path}`;
-      this.#refuseUnrouted(incoming, { status: 404, verdict: 'not-run', message });
+      this.#refuseEarly(incoming, { status: 404, verdict: 'not-run', message });
       return;
     }
     if (!this.#canFinish(route, startedAt)) {
       const message = 'this instance stops before the call could be answered';
       const refusal = { status: 503, verdict: 'not-run', message } as const;
-      this.#refuseUnrouted(incoming, refusal, stoppingRetryAfterMs);
+      this.#refuseEarly(incoming, refusal, stoppingRetryAfterMs);
       return;
     }
     const limitMs = Math.min(
@@ -260,7 +260,7 @@
     return { status: refusal.status, verdict: refusal.verdict, reason };
   }
 
-  #refuseUnrouted(incoming: IncomingCall, refusal: Refusal, waitMs?: number): void {
+  #refuseEarly(incoming: IncomingCall, refusal: Refusal, waitMs?: number): void {
     const { log, metrics, headerCodec } = this.#options;
     const outcome = this.#respondWithRefusal(incoming, refusal, 'early', waitMs);
     metrics.recordEvent(`refused-${outcome.status}`);
--- a/packages/gateway/test/admission.test.ts
+++ b/packages/gateway/test/admission.test.ts
@@ -190,7 +190,6 @@
       route,
       isUrgent,
       targetDeadlineAt,
-      deadlineAt: clock.now() + route.timeoutMs,
       incoming: { cancellation: new Cancellation() },
     };
     const pick = await (admit ? admit() : admission.admitCall(request, []));
@@ -307,7 +306,6 @@
         route: report.route,
         isUrgent: false,
         targetDeadlineAt: clock.now() + 4000,
-        deadlineAt: clock.now() + 9000,
         incoming: { cancellation },
       },
       [],
--- a/packages/gateway/test/body.test.ts
+++ b/packages/gateway/test/body.test.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http';
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { ConnectionPool } from '@dotterelpass/proxy';
@@ -25,6 +26,18 @@
   return pool;
 }
 
+async function sendRequest(endpoint: ConnectionPool): Promise<IncomingMessage> {
+  const result = await endpoint.send({
+    method: 'GET',
+    path: '/',
+    headers: ['Host', 'example'],
+    body: { kind: 'none' },
+    timeoutMs: 2000,
+  });
+  if (result.isErr()) throw new Error(result.error.message);
+  return result.value;
+}
+
 /** Resets the connection. `resetAndDestroy` would close it cleanly before the reset. */
 function resetConnection(socket: Socket): void {
   Object.assign(socket, { resetAndClosing: true }).destroy();
@@ -72,15 +85,7 @@
     },
   ])('reads $name as $expected', async ({ respond, expected }) => {
     const endpoint = await startEndpoint(respond);
-    const sendResult = await endpoint.send({
-      method: 'GET',
-      path: '/',
-      headers: ['Host', 'example'],
-      body: { kind: 'none' },
-      timeoutMs: 2000,
-    });
-    if (sendResult.isErr()) throw new Error(sendResult.error.message);
-    const result = await readResponseBody(sendResult.value, 2000);
+    const result = await readResponseBody(await sendRequest(endpoint), 2000);
     expect(result.kind).toBe(expected);
     if (result.kind === 'whole') expect(result.bytes.toString()).toBe('hello');
   });
@@ -93,15 +98,7 @@
       for (let sent = 0; sent < 40; sent++) socket.write(chunk);
       socket.write('0\r\n\r\n');
     });
-    const sendResult = await endpoint.send({
-      method: 'GET',
-      path: '/',
-      headers: ['Host', 'example'],
-      body: { kind: 'none' },
-      timeoutMs: 2000,
-    });
-    if (sendResult.isErr()) throw new Error(sendResult.error.message);
-    const response = sendResult.value;
+    const response = await sendRequest(endpoint);
     expect((await readResponseBody(response, 2000)).kind).toBe('large');
     let size = 0;
     for await (const part of response) size += (part as Buffer).length;
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -186,7 +186,7 @@
   /** Makes the last response on each connection ask the caller to close the connection. */
   startDraining(): void {
     this.#isDraining = true;
-    this.#connections.forEach(({ lastResponse }) => forbidKeepAlive(lastResponse));
+    this.#connections.forEach(({ lastResponse }) => clearKeepAlive(lastResponse));
   }
 
   /**
@@ -267,7 +267,7 @@
   }
 
   #discardRequest(socket: Socket, connection: CallerConnection): void {
-    forbidKeepAlive(connection.lastResponse);
+    clearKeepAlive(connection.lastResponse);
     connection.discardRequest();
     if (connection.discardedRequests > maxDiscardedRequests) socket.destroy();
   }
@@ -321,7 +321,7 @@
   }
 }
 
-function forbidKeepAlive(response: ServerResponse | undefined): void {
+function clearKeepAlive(response: ServerResponse | undefined): void {
   if (response && !response.headersSent) response.shouldKeepAlive = false;
 }
 
