Compare configurations of instances by version

Cause: instances ask the reader of the store for a configuration with a higher store revision than theirs. A restored store assigns revisions again, so the new configuration has a lower revision than the old one, and the reader answers that there is nothing newer. Its answer is fresh, so nobody reads the store either.

Requests and updates between instances now carry the version, which operators only raise and by which a configuration is put in force. The type of the request changes, so that instances of the earlier version are refused and read the store themselves instead of comparing a version with a revision.

--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -86,9 +86,17 @@
 /** Maximum number of undecodable registrations that are remembered to log each only once. */
 const maxUnreadableKeys = 1000;
 
+/** How far a replica has come; another instance sends it what is newer. */
+export interface ReplicaProgress {
+  /** Store revision of the registrations; -1 before the first. */
+  readonly registrations: number;
+  /** Version of the configuration; -1 before the first. */
+  readonly configVersion: number;
+}
+
 /** State that one instance sends to another. */
 export interface ReplicaUpdate {
-  /** The configuration; undefined when the receiver already has this revision. */
+  /** The configuration; undefined when the receiver already has this version. */
   readonly catalog: StoreItem | undefined;
   /** Time since the configuration was last confirmed to be current, in milliseconds. */
   readonly catalogAgeMs: number;
@@ -106,8 +114,11 @@
 
   readonly #changeLog: ChangeLog;
 
+  /** The newest configuration in the store or from another instance. */
   #configItem: StoreItem | undefined;
 
+  #configVersion = -1;
+
   /** When the configuration was last confirmed to be current. */
   #configCheckedAt = -Infinity;
 
@@ -171,9 +182,9 @@
     );
   }
 
-  /** Revisions of this replica, from which another instance finds what is newer. */
-  get revisions(): { readonly registrations: number; readonly catalog: number } {
-    return { registrations: this.#changeLog.revision, catalog: this.#configItem?.revision ?? 0 };
+  /** Progress of this replica, from which another instance finds what is newer. */
+  get progress(): ReplicaProgress {
+    return { registrations: this.#changeLog.revision, configVersion: this.#configVersion };
   }
 
   /** Starts to watch the configuration and to poll the registrations, until `stop`. */
@@ -199,14 +210,14 @@
   /**
    * Builds an update for another instance.
    *
-   * @param registrations - Revision of the registrations of that instance.
-   * @param catalog - Revision of the configuration of that instance.
+   * @param progress - Progress of that instance.
    */
-  buildUpdate(registrations: number, catalog: number): ReplicaUpdate {
+  buildUpdate({ registrations, configVersion }: ReplicaProgress): ReplicaUpdate {
     const now = this.#options.clock.now();
-    const item = this.#configItem;
     return {
-      catalog: item && item.revision > catalog ? item : undefined,
+      // Only the version tells which configuration is newer: a store that is restored from a copy
+      // assigns its revisions again.
+      catalog: this.#configVersion > configVersion ? this.#configItem : undefined,
       catalogAgeMs: now - this.#configCheckedAt,
       registrations: this.#changeLog.getChangesSince(registrations),
       listedAgeMs: this.registrationsAgeMs,
@@ -379,10 +390,12 @@
       log.error('configuration-unreadable', { revision: item.revision, reason: config.error });
       return;
     }
-    const knownRevision = this.#configItem?.revision ?? 0;
-    if (item.revision >= knownRevision) this.#configItem = item;
+    const { version } = config.value;
+    if (version <= this.#configVersion) return;
+    this.#configItem = item;
+    this.#configVersion = version;
     target.setConfig(config.value, source);
-    if (item.revision > knownRevision) this.#options.onChange();
+    this.#options.onChange();
   }
 
   #decodeRegistration({ key, value, revision }: StoreItem): Registration | undefined {
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -2,7 +2,7 @@
 import { PeerTransport } from '@dotterelpass/peers';
 import type { Logger } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, Incarnation, InstanceId, Random } from '@dotterelpass/values';
-import type { StoreReplica, ReplicaUpdate } from './replica.js';
+import type { ReplicaProgress, ReplicaUpdate, StoreReplica } from './replica.js';
 import type { Fleet, FleetUpdate, Peer } from './fleet.js';
 import type { FleetAnswer, InstanceSummary } from './summary.js';
 
@@ -34,7 +34,11 @@
 /** Time between two checks whether another instance has sent its state. */
 const stateCheckMs = 50;
 
-const requestType = 'knowledge';
+/**
+ * Type of the requests for the state of another instance. An instance of an older version, which
+ * compares other fields, does not know the type: it refuses the request, and the sender asks others.
+ */
+const requestType = 'state';
 
 /** Type of the requests for the summary of another instance, and their timeout. */
 const summaryRequestType = 'summary';
@@ -177,11 +181,11 @@
     const { instance, incarnation, ip, port, replica, fleet, clock, log } = this.#options;
     const transport = new PeerTransport({ instance, incarnation }, peerKey, log);
     transport.handle(requestType, async (body) => {
-      const { registrations, catalog, fleetDigest, heard } = body as unknown as SyncRequest;
+      const { fleetDigest, heard, ...progress } = body as unknown as SyncRequest;
       replica.markSharing();
       const receivedAt = clock.now();
       if (heard === this.#changeSequence) await this.#waitForChange();
-      const update = replica.buildUpdate(registrations, catalog);
+      const update = replica.buildUpdate(progress);
       const heldMs = clock.now() - receivedAt;
       return {
         ...update,
@@ -214,7 +218,7 @@
     const readers = this.#selectReaders();
     for (const peer of [...readers, ...this.#selectFallbackPeers(readers)]) {
       const heard = peer === this.#source ? this.#sourceSequence : undefined;
-      const body: SyncRequest = { ...replica.revisions, fleetDigest: fleet.digest, heard };
+      const body: SyncRequest = { ...replica.progress, fleetDigest: fleet.digest, heard };
       const waitMs = heard === undefined ? responseTimeoutMs : responseTimeoutMs + longPollMs;
       const sentAt = clock.now();
       const result = await transport.request(peer, requestType, { ...body }, waitMs);
@@ -315,10 +319,7 @@
 }
 
 /** State of the requesting instance. */
-interface SyncRequest {
-  /** Revisions of the registrations and of the configuration. */
-  readonly registrations: number;
-  readonly catalog: number;
+interface SyncRequest extends ReplicaProgress {
   readonly fleetDigest: string;
   /** Last sequence number received from the peer; undefined requests an immediate response. */
   readonly heard: number | undefined;
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -126,7 +126,7 @@
     replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }, { listedAgeMs: 1500 }), 'peer');
     clock.advance(700);
     expect(replica.registrationsAgeMs).toBe(2200);
-    expect(replica.buildUpdate(0, 0).listedAgeMs).toBe(2200);
+    expect(replica.buildUpdate({ registrations: 0, configVersion: 0 }).listedAgeMs).toBe(2200);
   });
 
   it.each([
