Order the state of the store by epoch and revision

Cause: a listing with a lower revision than the last one was ignored as out of date.

A position in the store is now an epoch and a revision.

The log line store-restored and the event of the same name show a restore, which no line did before.

--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -1,4 +1,5 @@
-import type { StoreItem, StoreListing } from '@dotterelpass/store';
+import { beforeFirstPosition, comparePositions } from '@dotterelpass/store';
+import type { StoreItem, StoreListing, StorePosition } from '@dotterelpass/store';
 import type { Registration } from './catalog.js';
 
 /** Maximum number of tombstones of removed registrations. */
@@ -6,8 +7,8 @@
 
 /** Changes with which another instance gets the same registrations as this instance. */
 export interface RegistrationChanges {
-  /** Store revision up to which the changes are complete. */
-  readonly revision: number;
+  /** Store position up to which the changes are complete. */
+  readonly position: StorePosition;
   /** Whether `items` is a full snapshot; `removed` is empty then. */
   readonly isWhole: boolean;
   readonly items: readonly StoreItem[];
@@ -17,14 +18,16 @@
 
 interface Entry {
   readonly item: StoreItem;
+  /** Epoch of the store in which the item was read. */
+  readonly epoch: number;
   /** Undefined when the item cannot be decoded. */
   readonly registration: Registration | undefined;
-  /** Revision of the listing that contained the last change other than a heartbeat. */
-  readonly changedAt: number;
+  /** Position of the listing that contained the last change other than a heartbeat. */
+  readonly changedAt: StorePosition;
 }
 
 /**
- * Registrations with the revisions of their last changes. Heartbeats rewrite a registration without
+ * Registrations with the positions of their last changes. Heartbeats rewrite a registration without
  * other changes; these writes are not sent to other instances.
  */
 export class ChangeLog {
@@ -32,22 +35,30 @@
 
   readonly #entries = new Map<string, Entry>();
 
-  /** Tombstones: removed keys and the revisions of their removal, oldest first. */
-  readonly #removed = new Map<string, number>();
+  /** Tombstones: removed keys and the positions of their removal, oldest first. */
+  readonly #removed = new Map<string, StorePosition>();
 
-  /** All changes after this revision are known; older revisions need a full snapshot. */
-  #oldestKnownRevision = Infinity;
+  /**
+   * All changes after this position are known; older positions need a full snapshot. Undefined
+   * before the first position.
+   */
+  #oldestKnownPosition: StorePosition | undefined;
 
-  #revision = -1;
+  #position = beforeFirstPosition;
 
   /** @param decode - Decodes an item; returns undefined when that fails. */
   constructor(decode: (item: StoreItem) => Registration | undefined) {
     this.#decode = decode;
   }
 
-  /** Revision of the newest listing or changes; -1 before the first. */
-  get revision(): number {
-    return this.#revision;
+  /** Position of the newest listing or changes. */
+  get position(): StorePosition {
+    return this.#position;
+  }
+
+  /** Whether a listing or changes have been applied. */
+  get isLoaded(): boolean {
+    return this.#position.epoch >= 0;
   }
 
   /** The registrations that could be decoded. */
@@ -56,23 +67,23 @@
   }
 
   /**
-   * Applies a listing from the store. A listing older than the present revision is ignored.
+   * Applies a listing from the store. A listing older than the present position is ignored.
    *
    * @param listing - The listing.
    * @param keepMissing - Whether registrations that are not listed are kept.
    */
   applyListing(listing: StoreListing, keepMissing: boolean): void {
-    if (listing.revision < this.#revision) return;
-    this.#mergeItems(listing.items, listing.revision);
+    const { items, position } = listing;
+    if (comparePositions(position, this.#position) < 0) return;
+    this.#mergeItems(items, position);
     if (!keepMissing) {
-      const listed = new Set(listing.items.map(({ key }) => key));
+      const listed = new Set(items.map(({ key }) => key));
       this.#removeKeys(
         [...this.#entries.keys()].filter((key) => !listed.has(key)),
-        listing.revision,
+        position,
       );
     }
-    this.#revision = listing.revision;
-    this.#oldestKnownRevision = Math.min(this.#oldestKnownRevision, listing.revision);
+    this.#advance(position, this.#oldestKnownPosition ?? position);
   }
 
   /**
@@ -81,52 +92,65 @@
    *
    * @param changes - The changes.
    */
-  applyChanges({ revision, isWhole, items, removed }: RegistrationChanges): void {
-    if (revision < this.#revision) return;
-    this.#mergeItems(items, revision);
-    this.#removeKeys(removed, revision);
-    this.#revision = revision;
-    if (isWhole) this.#oldestKnownRevision = revision;
+  applyChanges({ position, isWhole, items, removed }: RegistrationChanges): void {
+    if (comparePositions(position, this.#position) < 0) return;
+    this.#mergeItems(items, position);
+    this.#removeKeys(removed, position);
+    this.#advance(position, isWhole ? position : this.#oldestKnownPosition);
   }
 
-  /** @returns The changes for an instance that has the registrations of `revision`. */
-  getChangesSince(revision: number): RegistrationChanges {
-    const isWhole = revision < this.#oldestKnownRevision;
+  /** @returns The changes for an instance that has the registrations of `position`. */
+  getChangesSince(position: StorePosition): RegistrationChanges {
+    const isAfter = (at: StorePosition) => comparePositions(at, position) > 0;
+    const isWhole = this.#oldestKnownPosition === undefined || isAfter(this.#oldestKnownPosition);
     const entries = [...this.#entries.values()];
-    const changed = isWhole ? entries : entries.filter(({ changedAt }) => changedAt > revision);
-    const removed = [...this.#removed].filter(([, at]) => !isWhole && at > revision);
+    const changed = isWhole ? entries : entries.filter(({ changedAt }) => isAfter(changedAt));
+    const removed = [...this.#removed].filter(([, at]) => !isWhole && isAfter(at));
     return {
-      revision: this.#revision,
+      position: this.#position,
       isWhole,
       items: changed.map(({ item }) => item),
       removed: removed.map(([key]) => key),
     };
   }
 
-  #mergeItems(items: readonly StoreItem[], revision: number): void {
+  /**
+   * Moves to a position. Changes before a restore of the store may have been lost with it, so those
+   * of an earlier epoch are not known any more.
+   */
+  #advance(position: StorePosition, oldestKnown: StorePosition | undefined): void {
+    const isRestored = oldestKnown !== undefined && oldestKnown.epoch < position.epoch;
+    this.#oldestKnownPosition = isRestored ? position : oldestKnown;
+    this.#position = position;
+  }
+
+  #mergeItems(items: readonly StoreItem[], position: StorePosition): void {
+    const { epoch } = position;
     items.forEach((item) => {
       const existing = this.#entries.get(item.key);
-      if (existing && existing.item.revision >= item.revision) return;
+      if (existing && existing.epoch === epoch && existing.item.revision >= item.revision) return;
       const registration = this.#decode(item);
       const isUnchanged =
         existing !== undefined && isSameRegistration(existing.registration, registration);
-      const changedAt = isUnchanged ? existing.changedAt : revision;
-      this.#entries.set(item.key, { item, registration, changedAt });
+      const changedAt = isUnchanged ? existing.changedAt : position;
+      this.#entries.set(item.key, { item, epoch, registration, changedAt });
       this.#removed.delete(item.key);
     });
   }
 
-  #removeKeys(keys: readonly string[], revision: number): void {
+  #removeKeys(keys: readonly string[], position: StorePosition): void {
     keys.forEach((key) => {
       if (!this.#entries.delete(key)) return;
       this.#removed.delete(key);
-      this.#removed.set(key, revision);
+      this.#removed.set(key, position);
     });
     while (this.#removed.size > maxRemoved) {
       const [oldest] = this.#removed;
       if (!oldest) return;
-      this.#removed.delete(oldest[0]);
-      this.#oldestKnownRevision = Math.max(this.#oldestKnownRevision, oldest[1]);
+      const [key, removedAt] = oldest;
+      this.#removed.delete(key);
+      const known = this.#oldestKnownPosition;
+      if (known && comparePositions(removedAt, known) > 0) this.#oldestKnownPosition = removedAt;
     }
   }
 }
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
-import { Backoff } from '@dotterelpass/store';
-import type { PlatformError, KeyValueStore, StoreItem } from '@dotterelpass/store';
+import { Backoff, comparePositions } from '@dotterelpass/store';
+import type { KeyValueStore, PlatformError, StoreItem, StorePosition } from '@dotterelpass/store';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, Random } from '@dotterelpass/values';
 import type { GatewayConfig, Registration } from './catalog.js';
@@ -88,8 +88,8 @@
 
 /** How far a replica has come; another instance sends it what is newer. */
 export interface ReplicaProgress {
-  /** Store revision of the registrations; -1 before the first. */
-  readonly registrations: number;
+  /** Store position of the registrations. */
+  readonly registrations: StorePosition;
   /** Version of the configuration; -1 before the first. */
   readonly configVersion: number;
 }
@@ -167,7 +167,7 @@
 
   /** Whether the registrations have been read at least once. */
   get hasRegistrations(): boolean {
-    return this.#changeLog.revision >= 0;
+    return this.#changeLog.isLoaded;
   }
 
   /** Time since the registrations were read from the store, in milliseconds. */
@@ -184,7 +184,7 @@
 
   /** Progress of this replica, from which another instance finds what is newer. */
   get progress(): ReplicaProgress {
-    return { registrations: this.#changeLog.revision, configVersion: this.#configVersion };
+    return { registrations: this.#changeLog.position, configVersion: this.#configVersion };
   }
 
   /** Starts to watch the configuration and to poll the registrations, until `stop`. */
@@ -238,9 +238,10 @@
     if (catalog) this.#applyConfig(catalog, source);
     this.#configCheckedAt = Math.max(this.#configCheckedAt, now - catalogAgeMs);
     this.#configFreshUntil = Math.max(this.#configFreshUntil, now - catalogAgeMs + pollIntervalMs);
-    const { revision, isWhole } = registrations;
-    if (revision < 0 || revision < this.#changeLog.revision) return;
+    const { position, isWhole } = registrations;
+    if (position.epoch < 0 || comparePositions(position, this.#changeLog.position) < 0) return;
     const isFirst = !this.hasRegistrations;
+    this.#recordEpoch(position);
     this.#changeLog.applyChanges(registrations);
     this.#options.target.setRegistrations(this.#changeLog.registrations);
     // A full snapshot contains no removals, so it does not replace a listing from the store unless
@@ -255,50 +256,51 @@
   async #watchConfig(): Promise<void> {
     const { store, schema, random, log, clock } = this.#options;
     const backoff = new Backoff(random, minBackoffMs, maxBackoffMs);
-    let revision: number | undefined;
+    /** Where the next watch continues; undefined when the configuration must be read first. */
+    let position: StorePosition | undefined;
     while (!this.#stopped) {
       const freshMs = this.#configFreshUntil - clock.now();
       if (freshMs > 0) {
-        revision = undefined;
+        position = undefined;
         await sleep(Math.ceil(freshMs));
         continue;
       }
       if (this.#isListingFailing) {
         // In an outage, one task finds out when the store is back: refused calls cost as well.
-        revision = undefined;
+        position = undefined;
         await sleep(recoveryCheckMs);
         continue;
       }
-      if (revision === undefined) {
+      if (position === undefined) {
         const result = await store.read(schema.configKey);
         if (this.#recordResult('configuration', result)) {
           const isFirst = this.#configCheckedAt === -Infinity;
           if (result.value.item) this.#applyConfig(result.value.item, 'store');
           this.#configCheckedAt = clock.now();
           if (isFirst) this.#configFreshUntil = clock.now() + firstWatchDelayMs;
-          revision = result.value.revision;
+          ({ position } = result.value);
           backoff.reset();
         } else await this.#waitToRetry(backoff);
         continue;
       }
       this.#isWatchPending = true;
-      const changes = await store.watch(schema.configKey, revision, watchTimeoutMs);
+      const changes = await store.watch(schema.configKey, position, watchTimeoutMs);
       this.#isWatchPending = false;
       if (!this.#recordResult('configuration', changes)) {
         // The connection may have missed a change, so the configuration is read again.
-        revision = undefined;
+        position = undefined;
         continue;
       }
       if (changes.value.kind === 'forgotten') {
-        log.warn('history-forgotten', { after: revision });
-        revision = undefined;
+        log.warn('history-forgotten', { after: position });
+        position = undefined;
         continue;
       }
       changes.value.items
         .filter(({ key }) => key === schema.configKey)
         .forEach((item) => this.#applyConfig(item, 'store'));
       this.#configCheckedAt = clock.now();
-      revision = Math.max(revision, changes.value.revision);
+      ({ position } = changes.value);
     }
   }
 
@@ -321,6 +323,7 @@
       }
       backoff.reset();
       this.#registrationsReadAt = Math.max(this.#registrationsReadAt, startedAt);
+      this.#recordEpoch(listing.value.position);
       // The store responds, so a pending watch would have reported a change of the configuration.
       if (this.#isWatchPending) this.#configCheckedAt = startedAt;
       this.#changeLog.applyListing(listing.value, clock.now() < this.#keepMissingUntil);
@@ -382,6 +385,19 @@
     return true;
   }
 
+  /**
+   * Notices that the store was restored. Endpoints renew registrations that were lost with it, so
+   * missing ones are kept for the grace period, as after an outage.
+   */
+  #recordEpoch({ epoch }: StorePosition): void {
+    const { clock, log, metrics } = this.#options;
+    const { epoch: before } = this.#changeLog.position;
+    if (before < 0 || epoch <= before) return;
+    this.#keepMissingUntil = clock.now() + reregisterGraceMs;
+    metrics.recordEvent('store-restored');
+    log.warn('store-restored', { before, now: epoch });
+  }
+
   #applyConfig(item: StoreItem, source: string): void {
     const { schema, target, log, metrics } = this.#options;
     const config = schema.decodeConfig(item.value);
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -252,15 +252,15 @@
     const { replica, fleet, log } = this.#options;
     const { registrations, catalog } = update;
     const listedAgeMs = update.listedAgeMs + networkMs;
-    const { items, removed, revision } = registrations;
+    const { items, removed, position } = registrations;
     if (items.length > 0 || removed.length > 0 || catalog) {
       log.info('knowledge-from-peer', {
         peer,
-        revision,
+        position,
         listedAgeMs: Math.round(listedAgeMs),
         changed: items.length,
         removed: removed.length,
-        catalogRevision: catalog?.revision,
+        hasConfig: catalog !== undefined,
       });
     }
     const catalogAgeMs = update.catalogAgeMs + networkMs;
--- a/packages/gateway/test/changes.test.ts
+++ b/packages/gateway/test/changes.test.ts
@@ -3,6 +3,9 @@
 import type { Registration } from '../src/catalog.js';
 import { ChangeLog } from '../src/changes.js';
 
+/** Creates a position, by default in the first epoch. */
+const at = (revision: number, epoch = 1) => ({ epoch, revision });
+
 /** Creates an item from `id:state:heartbeat`. */
 const makeItem = (text: string, revision: number) => {
   const [id = ''] = text.split(':');
@@ -28,7 +31,7 @@
 function makeLog(): ChangeLog {
   const changeLog = new ChangeLog(decodeItem);
   changeLog.applyListing(
-    { items: [makeItem('e1:ready:1', 9), makeItem('e2:ready:1', 10)], revision: 10 },
+    { items: [makeItem('e1:ready:1', 9), makeItem('e2:ready:1', 10)], position: at(10) },
     false,
   );
   return changeLog;
@@ -41,11 +44,11 @@
   it('reports no changes after heartbeats', () => {
     const changeLog = makeLog();
     changeLog.applyListing(
-      { items: [makeItem('e1:ready:2', 11), makeItem('e2:ready:2', 12)], revision: 12 },
+      { items: [makeItem('e1:ready:2', 11), makeItem('e2:ready:2', 12)], position: at(12) },
       false,
     );
-    expect(changeLog.getChangesSince(10)).toEqual({
-      revision: 12,
+    expect(changeLog.getChangesSince(at(10))).toEqual({
+      position: at(12),
       isWhole: false,
       items: [],
       removed: [],
@@ -54,24 +57,28 @@
 
   it('reports a state change and a removal to an instance with an older revision only', () => {
     const changeLog = makeLog();
-    changeLog.applyListing({ items: [makeItem('e1:draining:2', 11)], revision: 12 }, false);
-    expect(changeLog.getChangesSince(10)).toMatchObject({
+    changeLog.applyListing({ items: [makeItem('e1:draining:2', 11)], position: at(12) }, false);
+    expect(changeLog.getChangesSince(at(10))).toMatchObject({
       items: [{ key: 'e1', revision: 11 }],
       removed: ['e2'],
     });
-    expect(changeLog.getChangesSince(12)).toMatchObject({ items: [], removed: [] });
+    expect(changeLog.getChangesSince(at(12))).toMatchObject({ items: [], removed: [] });
   });
 
   /** Guards against removals that are never sent because they are older than the log. */
   it('reports a full snapshot for a revision older than its first listing', () => {
-    expect(makeLog().getChangesSince(9)).toMatchObject({
+    expect(makeLog().getChangesSince(at(9))).toMatchObject({
       isWhole: true,
       items: [{ key: 'e1' }, { key: 'e2' }],
     });
   });
 
   it('reports no changes for a newer revision', () => {
-    expect(makeLog().getChangesSince(11)).toMatchObject({ revision: 10, items: [], removed: [] });
+    expect(makeLog().getChangesSince(at(11))).toMatchObject({
+      position: at(10),
+      items: [],
+      removed: [],
+    });
   });
 
   it.each([
@@ -83,38 +90,81 @@
     { name: 'removes missing entries', keepMissing: false, ids: ['e1'] },
   ])('$name', ({ keepMissing, ids }) => {
     const changeLog = makeLog();
-    changeLog.applyListing({ items: [makeItem('e1:ready:2', 11)], revision: 12 }, keepMissing);
+    changeLog.applyListing({ items: [makeItem('e1:ready:2', 11)], position: at(12) }, keepMissing);
     expect(listIds(changeLog)).toEqual(ids);
   });
 
   /** Guards against a listing that arrives after a newer update from a peer. */
   it('ignores a listing that is older than its revision', () => {
     const changeLog = makeLog();
-    changeLog.applyListing({ items: [], revision: 9 }, false);
+    changeLog.applyListing({ items: [], position: at(9) }, false);
     expect(listIds(changeLog)).toEqual(['e1', 'e2']);
   });
 
   it('drops the registration of an entry that can no longer be decoded', () => {
     const changeLog = makeLog();
     changeLog.applyListing(
-      { items: [makeItem('e1:ready:2', 11), makeItem('e2', 12)], revision: 12 },
+      { items: [makeItem('e1:ready:2', 11), makeItem('e2', 12)], position: at(12) },
       false,
     );
     expect(listIds(changeLog)).toEqual(['e1']);
-    expect(changeLog.getChangesSince(10)).toMatchObject({ items: [{ key: 'e2' }] });
+    expect(changeLog.getChangesSince(at(10))).toMatchObject({ items: [{ key: 'e2' }] });
+  });
+
+  /**
+   * Guards against a list of endpoints that stays as it was before a restore of the store, until the
+   * store has assigned all lost revisions again.
+   */
+  it('applies a listing with a lower revision after a restore of the store', () => {
+    const changeLog = makeLog();
+    const items = [makeItem('e1:draining:2', 5), makeItem('e3:ready:1', 6)];
+    changeLog.applyListing({ items, position: at(6, 2) }, false);
+    expect(changeLog.registrations).toMatchObject([
+      { id: 'e1', state: 'draining' },
+      { id: 'e3', state: 'ready' },
+    ]);
+  });
+
+  /** Guards against a change of one revision that hides another change of the same revision. */
+  it('takes an item with the same revision of another epoch for another change', () => {
+    const changeLog = makeLog();
+    changeLog.applyListing({ items: [makeItem('e1:draining:2', 9)], position: at(9, 2) }, true);
+    expect(changeLog.registrations[0]).toMatchObject({ id: 'e1', state: 'draining' });
+  });
+
+  it.each([
+    { name: 'before the restore', position: at(10), isWhole: true, keys: ['e1', 'e2'] },
+    { name: 'at the restored listing', position: at(6, 2), isWhole: false, keys: [] },
+  ])('reports changes to an instance $name: $keys', ({ position, isWhole, keys }) => {
+    const changeLog = makeLog();
+    const items = [makeItem('e1:ready:2', 5), makeItem('e2:ready:2', 6)];
+    changeLog.applyListing({ items, position: at(6, 2) }, false);
+    const changes = changeLog.getChangesSince(position);
+    expect(changes.isWhole).toBe(isWhole);
+    expect(changes.items.map(({ key }) => key)).toEqual(keys);
+  });
+
+  /** Guards against an instance that has not noticed the restore and undoes it on another one. */
+  it('ignores changes and listings from before the restore', () => {
+    const changeLog = makeLog();
+    const earlier = makeLog().getChangesSince(at(1));
+    changeLog.applyListing({ items: [makeItem('e3:ready:1', 3)], position: at(3, 2) }, false);
+    changeLog.applyChanges(earlier);
+    changeLog.applyListing({ items: [], position: at(99) }, false);
+    expect(listIds(changeLog)).toEqual(['e3']);
   });
 
   /** Guards against changes that are lost when a peer only has a log from a later revision on. */
   it('has the same registrations as another log after applying its changes', () => {
     const reader = makeLog();
     const follower = new ChangeLog(decodeItem);
-    follower.applyChanges(reader.getChangesSince(follower.revision));
+    follower.applyChanges(reader.getChangesSince(follower.position));
     reader.applyListing(
-      { items: [makeItem('e1:draining:2', 11), makeItem('e3:ready:1', 12)], revision: 12 },
+      { items: [makeItem('e1:draining:2', 11), makeItem('e3:ready:1', 12)], position: at(12) },
       false,
     );
-    follower.applyChanges(reader.getChangesSince(follower.revision));
+    follower.applyChanges(reader.getChangesSince(follower.position));
     expect(follower.registrations).toEqual(reader.registrations);
-    expect(follower.getChangesSince(9).isWhole).toBe(true);
+    expect(follower.getChangesSince(at(9)).isWhole).toBe(true);
   });
 });
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -20,7 +20,7 @@
 
   override async list(): Promise<Result<StoreListing, PlatformError>> {
     const items = [...this.items.values()].sort((a, b) => (a.key < b.key ? -1 : 1));
-    return ok({ items, revision: this.items.size });
+    return ok({ items, position: { epoch: 1, revision: this.items.size } });
   }
 
   override async watch(): ReturnType<KeyValueStore['watch']> {
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -12,6 +12,9 @@
 import { StoreReplica } from '../src/replica.js';
 import type { ReplicaUpdate } from '../src/replica.js';
 
+/** Creates a position, by default in the first epoch. */
+const at = (revision: number, epoch = 1) => ({ epoch, revision });
+
 /** A store that is unreachable. */
 class UnavailableStore extends KeyValueStore {
   readonly #error = { kind: 'unreachable', message: 'down', applied: 'no' } as const;
@@ -54,7 +57,7 @@
 
   override async list(): Promise<Result<StoreListing, PlatformError>> {
     if (performance.now() < this.#availableAt) return super.list();
-    return ok({ items: [], revision: 9 });
+    return ok({ items: [], position: at(9) });
   }
 }
 
@@ -115,7 +118,7 @@
   catalog: undefined,
   catalogAgeMs: 10,
   listedAgeMs: 10,
-  registrations: { revision: 5, isWhole: false, items: [], removed: [], ...changes },
+  registrations: { position: at(5), isWhole: false, items: [], removed: [], ...changes },
   ...ages,
 });
 
@@ -126,7 +129,7 @@
     replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }, { listedAgeMs: 1500 }), 'peer');
     clock.advance(700);
     expect(replica.registrationsAgeMs).toBe(2200);
-    expect(replica.buildUpdate({ registrations: 0, configVersion: 0 }).listedAgeMs).toBe(2200);
+    expect(replica.buildUpdate({ registrations: at(0), configVersion: 0 }).listedAgeMs).toBe(2200);
   });
 
   it.each([
@@ -136,7 +139,10 @@
   ])('at revision $revision results in $ids on a replica at revision 5', ({ revision, ids }) => {
     const replica = makeReplica();
     replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }), 'peer');
-    replica.mergeUpdate(makeUpdate({ revision, items: [makeItem('e2', revision)] }), 'peer');
+    replica.mergeUpdate(
+      makeUpdate({ position: at(revision), items: [makeItem('e2', revision)] }),
+      'peer',
+    );
     expect(appliedIds.at(-1)).toEqual(ids);
   });
 
@@ -146,7 +152,7 @@
     replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }), 'peer');
     clock.advance(2000);
     replica.mergeUpdate(
-      makeUpdate({ revision: 9, isWhole: true, items: [makeItem('e2', 9)] }),
+      makeUpdate({ position: at(9), isWhole: true, items: [makeItem('e2', 9)] }),
       'peer',
     );
     expect(appliedIds.at(-1)).toEqual(['e1', 'e2']);
@@ -163,7 +169,7 @@
   it('removes an endpoint whose removal the peer reports', () => {
     const replica = makeReplica();
     replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5), makeItem('e2', 5)] }), 'peer');
-    replica.mergeUpdate(makeUpdate({ revision: 6, removed: ['e1'] }), 'peer');
+    replica.mergeUpdate(makeUpdate({ position: at(6), removed: ['e1'] }), 'peer');
     expect(appliedIds.at(-1)).toEqual(['e2']);
   });
 
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -1,26 +1,37 @@
 import type { Result } from 'neverthrow';
+import type { StorePosition } from './position.js';
 import type { PlatformError } from './transport.js';
 
 /** A key and its value. */
 export interface StoreItem {
   readonly key: string;
   readonly value: Buffer;
-  /** Store revision of the last change of the key. */
+  /** Store revision of the last change of the key, in the epoch in which it was read. */
   readonly revision: number;
 }
 
-/** All items with a key prefix, and the revision of the store at which they were read. */
+/** All items with a key prefix, and the position of the store at which they were read. */
 export interface StoreListing {
   readonly items: readonly StoreItem[];
-  readonly revision: number;
+  readonly position: StorePosition;
+}
+
+/** One item, which is undefined when the key does not exist, and the position of the store. */
+export interface StoreReading {
+  readonly item: StoreItem | undefined;
+  readonly position: StorePosition;
 }
 
 /**
- * Result of a watch: the changed items, or `forgotten` when the store no longer has all changes
- * after the requested revision.
+ * Result of a watch: the changed items, or `forgotten` when the store does not have all changes
+ * after the requested position, which includes that it was restored.
  */
 export type WatchResult =
-  | { readonly kind: 'changes'; readonly items: readonly StoreItem[]; readonly revision: number }
+  | {
+      readonly kind: 'changes';
+      readonly items: readonly StoreItem[];
+      readonly position: StorePosition;
+    }
   | { readonly kind: 'forgotten' };
 
 /** A write that takes effect only if the key has the expected revision. */
@@ -33,14 +44,10 @@
   readonly lease?: number;
 }
 
-/** A key-value store with revisions, watches and leases. */
+/** A key-value store with revisions, watches and leases, which may be restored from a copy. */
 export abstract class KeyValueStore {
-  /** Reads one item, which is undefined when the key does not exist. */
-  abstract read(
-    key: string,
-  ): Promise<
-    Result<{ readonly item: StoreItem | undefined; readonly revision: number }, PlatformError>
-  >;
+  /** Reads one item. */
+  abstract read(key: string): Promise<Result<StoreReading, PlatformError>>;
 
   /**
    * Reads all items whose keys begin with a prefix.
@@ -54,12 +61,12 @@
    * Waits for changes of keys that begin with a prefix.
    *
    * @param prefix - The prefix.
-   * @param after - Only changes after this revision are returned.
+   * @param after - Only changes after this position are returned.
    * @param waitMs - Longest wait for a change, in milliseconds.
    */
   abstract watch(
     prefix: string,
-    after: number,
+    after: StorePosition,
     waitMs: number,
   ): Promise<Result<WatchResult, PlatformError>>;
 
