--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -71,10 +71,11 @@
    *
    * @param listing - The listing.
    * @param keepMissing - Whether registrations that are not listed are kept.
+   * @returns Whether the listing was applied.
    */
-  applyListing(listing: StoreListing, keepMissing: boolean): void {
+  applyListing(listing: StoreListing, keepMissing: boolean): boolean {
     const { items, position } = listing;
-    if (comparePositions(position, this.#position) < 0) return;
+    if (comparePositions(position, this.#position) < 0) return false;
     this.#mergeItems(items, position);
     if (!keepMissing) {
       const listed = new Set(items.map(({ key }) => key));
@@ -84,6 +85,7 @@
       );
     }
     this.#advance(position, this.#oldestKnownPosition ?? position);
+    return true;
   }
 
   /**
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -130,6 +130,12 @@
 
   #registrationsReadAt = -Infinity;
 
+  /**
+   * Whether a full snapshot of another instance may have left out removals. Until the registrations
+   * are listed from the store, updates of other instances do not replace a listing.
+   */
+  #mayMissRemovals = false;
+
   /** Until when other instances are assumed to depend on the readings of this one. */
   #sharedReaderUntil = -Infinity;
 
@@ -244,9 +250,9 @@
     this.#recordEpoch(position);
     this.#changeLog.applyChanges(registrations);
     this.#options.target.setRegistrations(this.#changeLog.registrations);
-    // A full snapshot contains no removals, so it does not replace a listing from the store unless
-    // there is nothing to remove or the store is unavailable.
-    if (!isWhole || isFirst || this.#failingSince !== undefined) {
+    // A full snapshot contains no removals, and the later updates contain only what changed since.
+    if (isWhole && !isFirst) this.#mayMissRemovals = true;
+    if (!this.#mayMissRemovals || this.#failingSince !== undefined) {
       this.#registrationsReadAt = Math.max(this.#registrationsReadAt, now - listedAgeMs);
       this.#lastSuccessAt = Math.max(this.#lastSuccessAt, this.#registrationsReadAt);
     }
@@ -326,7 +332,9 @@
       this.#recordEpoch(listing.value.position);
       // The store responds, so a pending watch would have reported a change of the configuration.
       if (this.#isWatchPending) this.#configCheckedAt = startedAt;
-      this.#changeLog.applyListing(listing.value, clock.now() < this.#keepMissingUntil);
+      const keepMissing = clock.now() < this.#keepMissingUntil;
+      const isApplied = this.#changeLog.applyListing(listing.value, keepMissing);
+      if (isApplied && !keepMissing) this.#mayMissRemovals = false;
       this.#options.target.setRegistrations(this.#changeLog.registrations);
       this.#options.onChange();
     }
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -159,6 +159,33 @@
     expect(replica.isFresh).toBe(false);
   });
 
+  /**
+   * Guards against calls to an endpoint that left while the reader of the store was replaced: its
+   * full snapshot does not tell the removal, and later updates are only what changed since.
+   */
+  it('after a full snapshot does not replace a read of the store either', () => {
+    const replica = makeReplica();
+    replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }), 'peer');
+    clock.advance(1000);
+    replica.mergeUpdate(makeUpdate({ position: at(9), isWhole: true }), 'peer');
+    clock.advance(1000);
+    replica.mergeUpdate(makeUpdate({ position: at(10) }), 'peer');
+    expect(replica.isFresh).toBe(false);
+  });
+
+  /** Guards against an instance that never depends on another one again after a full snapshot. */
+  it('replaces a read of the store again after the registrations have been listed', async () => {
+    const replica = makeReplica(new RecoveringStore(0), systemClock);
+    replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }), 'peer');
+    replica.mergeUpdate(makeUpdate({ position: at(6), isWhole: true }), 'peer');
+    replica.start();
+    await vi.waitFor(() => expect(appliedIds.at(-1)).toEqual([]), 5000);
+    replica.stop();
+    await sleep(500);
+    replica.mergeUpdate(makeUpdate({ position: at(10) }), 'peer');
+    expect(replica.registrationsAgeMs).toBeLessThan(100);
+  });
+
   /** Guards against a listing of the store by each instance of a fleet that starts. */
   it('with a full snapshot replaces the first read of the store', () => {
     const replica = makeReplica();
