Keep endpoints that left out of use after a restore of the store

Calls went to an endpoint that was draining or had left shortly before the store was restored: the copy still has its registration as ready, and every instance that knew better took the copy for news.

A registration of a later epoch now replaces a known one only if the process started later or has sent more heartbeats, by its sequence. A removed registration is remembered with its last state for that. Items carry the epoch in which they were read, so that an instance passes on what it knows from before the restore without hiding later changes.

The expectation of the decoded registration has the new field sequence.

--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -18,14 +18,19 @@
 
 interface Entry {
   readonly item: StoreItem;
-  /** Epoch of the store in which the item was read. */
-  readonly epoch: number;
   /** Undefined when the item cannot be decoded. */
   readonly registration: Registration | undefined;
   /** Position of the listing that contained the last change other than a heartbeat. */
   readonly changedAt: StorePosition;
 }
 
+/** A removed registration, of which a restored store may still have an earlier state. */
+interface Tombstone {
+  readonly removedAt: StorePosition;
+  /** Undefined when the last item could not be decoded. */
+  readonly registration: Registration | undefined;
+}
+
 /**
  * Registrations with the positions of their last changes. Heartbeats rewrite a registration without
  * other changes; these writes are not sent to other instances.
@@ -35,8 +40,8 @@
 
   readonly #entries = new Map<string, Entry>();
 
-  /** Tombstones: removed keys and the positions of their removal, oldest first. */
-  readonly #removed = new Map<string, StorePosition>();
+  /** Tombstones of the removed keys, oldest first. */
+  readonly #removed = new Map<string, Tombstone>();
 
   /**
    * All changes after this position are known; older positions need a full snapshot. Undefined
@@ -107,7 +112,9 @@
     const isWhole = this.#oldestKnownPosition === undefined || isAfter(this.#oldestKnownPosition);
     const entries = [...this.#entries.values()];
     const changed = isWhole ? entries : entries.filter(({ changedAt }) => isAfter(changedAt));
-    const removed = [...this.#removed].filter(([, at]) => !isWhole && isAfter(at));
+    const removed = [...this.#removed].filter(
+      ([, { removedAt }]) => !isWhole && isAfter(removedAt),
+    );
     return {
       position: this.#position,
       isWhole,
@@ -127,29 +134,43 @@
   }
 
   #mergeItems(items: readonly StoreItem[], position: StorePosition): void {
-    const { epoch } = position;
     items.forEach((item) => {
       const existing = this.#entries.get(item.key);
-      if (existing && existing.epoch === epoch && existing.item.revision >= item.revision) return;
+      if (existing && comparePositions(existing.item, item) >= 0) return;
       const registration = this.#decode(item);
+      if (this.#isFromCopy(item, registration)) return;
       const isUnchanged =
         existing !== undefined && isSameRegistration(existing.registration, registration);
       const changedAt = isUnchanged ? existing.changedAt : position;
-      this.#entries.set(item.key, { item, epoch, registration, changedAt });
+      this.#entries.set(item.key, { item, registration, changedAt });
       this.#removed.delete(item.key);
     });
   }
 
+  /**
+   * Whether a restored store has an item only because its copy is older than what is known: the
+   * endpoint has since changed or left.
+   */
+  #isFromCopy({ key, epoch }: StoreItem, registration: Registration | undefined): boolean {
+    const entry = this.#entries.get(key);
+    const tombstone = this.#removed.get(key);
+    const knownEpoch = entry?.item.epoch ?? tombstone?.removedAt.epoch ?? epoch;
+    const known = entry?.registration ?? tombstone?.registration;
+    return knownEpoch < epoch && !!known && !!registration && !isLater(registration, known);
+  }
+
   #removeKeys(keys: readonly string[], position: StorePosition): void {
     keys.forEach((key) => {
-      if (!this.#entries.delete(key)) return;
+      const entry = this.#entries.get(key);
+      if (!entry) return;
+      this.#entries.delete(key);
       this.#removed.delete(key);
-      this.#removed.set(key, position);
+      this.#removed.set(key, { removedAt: position, registration: entry.registration });
     });
     while (this.#removed.size > maxRemoved) {
       const [oldest] = this.#removed;
       if (!oldest) return;
-      const [key, removedAt] = oldest;
+      const [key, { removedAt }] = oldest;
       this.#removed.delete(key);
       const known = this.#oldestKnownPosition;
       if (known && comparePositions(removedAt, known) > 0) this.#oldestKnownPosition = removedAt;
@@ -157,6 +178,12 @@
   }
 }
 
+/** Whether a registration was written later than another one of the same endpoint. */
+function isLater(a: Registration, b: Registration): boolean {
+  const startedAfterMs = (a.startedAtMs ?? 0) - (b.startedAtMs ?? 0);
+  return (startedAfterMs || a.sequence - b.sequence) > 0;
+}
+
 /**
  * Compares registrations without their warm-up times, which are counted from the first registration
  * of an endpoint.
--- a/packages/gateway/test/changes.test.ts
+++ b/packages/gateway/test/changes.test.ts
@@ -6,14 +6,14 @@
 /** Creates a position, by default in the first epoch. */
 const at = (revision: number, epoch = 1) => ({ epoch, revision });
 
-/** Creates an item from `id:state:heartbeat`. */
-const makeItem = (text: string, revision: number) => {
+/** Creates an item from `id:state:sequence`, with the start of the process after that if needed. */
+const makeItem = (text: string, revision: number, epoch = 1) => {
   const [id = ''] = text.split(':');
-  return { key: id, value: Buffer.from(text), revision };
+  return { key: id, value: Buffer.from(text), epoch, revision };
 };
 
 function decodeItem({ value }: { readonly value: Buffer }): Registration | undefined {
-  const [id = '', state = ''] = value.toString().split(':');
+  const [id = '', state = '', sequence = '', startedAt] = value.toString().split(':');
   if (state !== 'ready' && state !== 'draining') return undefined;
   return {
     id: id as EndpointId,
@@ -22,7 +22,8 @@
     failureDomain: 'z' as FailureDomain,
     slots: 3,
     state,
-    startedAtMs: undefined,
+    startedAtMs: startedAt === undefined ? undefined : Number(startedAt),
+    sequence: Number(sequence),
     warmupMs: 0,
   };
 }
@@ -117,7 +118,7 @@
    */
   it('applies a listing with a lower revision after a restore of the store', () => {
     const changeLog = makeLog();
-    const items = [makeItem('e1:draining:2', 5), makeItem('e3:ready:1', 6)];
+    const items = [makeItem('e1:draining:2', 5, 2), makeItem('e3:ready:1', 6, 2)];
     changeLog.applyListing({ items, position: at(6, 2) }, false);
     expect(changeLog.registrations).toMatchObject([
       { id: 'e1', state: 'draining' },
@@ -128,7 +129,7 @@
   /** Guards against a change of one revision that hides another change of the same revision. */
   it('takes an item with the same revision of another epoch for another change', () => {
     const changeLog = makeLog();
-    changeLog.applyListing({ items: [makeItem('e1:draining:2', 9)], position: at(9, 2) }, true);
+    changeLog.applyListing({ items: [makeItem('e1:draining:2', 9, 2)], position: at(9, 2) }, true);
     expect(changeLog.registrations[0]).toMatchObject({ id: 'e1', state: 'draining' });
   });
 
@@ -137,18 +138,55 @@
     { name: 'at the restored listing', position: at(6, 2), isWhole: false, keys: [] },
   ])('reports changes to an instance $name: $keys', ({ position, isWhole, keys }) => {
     const changeLog = makeLog();
-    const items = [makeItem('e1:ready:2', 5), makeItem('e2:ready:2', 6)];
+    const items = [makeItem('e1:ready:2', 5, 2), makeItem('e2:ready:2', 6, 2)];
     changeLog.applyListing({ items, position: at(6, 2) }, false);
     const changes = changeLog.getChangesSince(position);
     expect(changes.isWhole).toBe(isWhole);
     expect(changes.items.map(({ key }) => key)).toEqual(keys);
   });
 
+  /**
+   * Guards against calls to an endpoint that left shortly before a restore of the store: the copy
+   * still has its earlier registration. A later one, also of a new process, shows that it is back.
+   */
+  it.each([
+    { name: 'drained', listed: 'e1:draining:7:50', restored: 'e1:ready:6:50', state: 'draining' },
+    { name: 'drained', listed: 'e1:draining:7:50', restored: 'e1:ready:8:50', state: 'ready' },
+    { name: 'drained', listed: 'e1:draining:7:50', restored: 'e1:ready:1:60', state: 'ready' },
+    { name: 'drained', listed: 'e1:draining:7:50', restored: 'e1:ready:9:40', state: 'draining' },
+    { name: 'left', listed: undefined, restored: 'e1:ready:1', state: undefined },
+    { name: 'left', listed: undefined, restored: 'e1:ready:2', state: 'ready' },
+  ])('with e1 $name ($listed) has it $state after $restored', ({ listed, restored, state }) => {
+    const changeLog = makeLog();
+    const items = listed === undefined ? [] : [makeItem(listed, 11)];
+    changeLog.applyListing({ items, position: at(12) }, false);
+    changeLog.applyListing({ items: [makeItem(restored, 5, 2)], position: at(6, 2) }, false);
+    changeLog.applyListing({ items: [makeItem(restored, 5, 2)], position: at(7, 2) }, false);
+    const registration = changeLog.registrations.find(({ id }) => id === 'e1');
+    expect(registration?.state).toBe(state);
+  });
+
+  /**
+   * Guards against a follower that ignores the changes of an endpoint after a restore, because the
+   * snapshot has its registration from before the restore with a higher revision.
+   */
+  it('passes on what is known from before the restore so that later changes follow', () => {
+    const reader = makeLog();
+    reader.applyListing({ items: [makeItem('e1:draining:7', 40)], position: at(40) }, false);
+    reader.applyListing({ items: [makeItem('e1:ready:6', 5, 2)], position: at(6, 2) }, false);
+    const follower = new ChangeLog(decodeItem);
+    follower.applyChanges(reader.getChangesSince(follower.position));
+    expect(follower.registrations).toMatchObject([{ id: 'e1', state: 'draining' }]);
+    reader.applyListing({ items: [makeItem('e1:ready:8', 7, 2)], position: at(8, 2) }, false);
+    follower.applyChanges(reader.getChangesSince(follower.position));
+    expect(follower.registrations).toMatchObject([{ id: 'e1', state: 'ready' }]);
+  });
+
   /** Guards against an instance that has not noticed the restore and undoes it on another one. */
   it('ignores changes and listings from before the restore', () => {
     const changeLog = makeLog();
     const earlier = makeLog().getChangesSince(at(1));
-    changeLog.applyListing({ items: [makeItem('e3:ready:1', 3)], position: at(3, 2) }, false);
+    changeLog.applyListing({ items: [makeItem('e3:ready:1', 3, 2)], position: at(3, 2) }, false);
     changeLog.applyChanges(earlier);
     changeLog.applyListing({ items: [], position: at(99) }, false);
     expect(listIds(changeLog)).toEqual(['e3']);
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -29,7 +29,7 @@
 
   override async put({ key, value }: StorePut): ReturnType<KeyValueStore['put']> {
     this.calls.push(`put ${key}`);
-    this.items.set(key, { key, value, revision: this.items.size + 1 });
+    this.items.set(key, { key, value, epoch: 1, revision: this.items.size + 1 });
     return ok(true);
   }
 
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -69,10 +69,16 @@
   slots: 3,
   state: 'ready',
   startedAtMs: undefined,
+  sequence: 1,
   warmupMs: 0,
 });
 
-const makeItem = (key: string, revision: number) => ({ key, value: Buffer.from(key), revision });
+const makeItem = (key: string, revision: number) => ({
+  key,
+  value: Buffer.from(key),
+  epoch: 1,
+  revision,
+});
 
 const clock = new ManualClock();
 /** Ids of the endpoints, for each call of `setRegistrations`. */
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -6,7 +6,9 @@
 export interface StoreItem {
   readonly key: string;
   readonly value: Buffer;
-  /** Store revision of the last change of the key, in the epoch in which it was read. */
+  /** Epoch of the store in which the item was read. */
+  readonly epoch: number;
+  /** Store revision of the last change of the key. */
   readonly revision: number;
 }
 
