Write keys of the instances again that a restored store has lost

After a restore, instances that start later could not talk to the others: the peer key is gone, so they write another one, while the others keep theirs. A ban is gone as well, so a request that crashes endpoints runs again on new instances, and a new ban is never written, because the lease of its instance is gone. Keys that are rewritten with the same revision are not passed on, because instances compare digests of revisions.

An instance now writes its bans and the known peer key again when its listing lacks them, takes a new lease when the store refuses a ban, and builds the digest from the values.

The three new tests failed before (no ban in the store, another peer key, the same digest).

--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -27,8 +27,8 @@
 /** Time for which an instance that is missing in the store still counts towards the fleet size. */
 const missingInstanceTtlMs = 30_000;
 
-/** Minimum time between registrations of this instance: a listing may predate the last one. */
-const registerIntervalMs = 6000;
+/** Minimum time between two writes of a key: a listing may predate the last write. */
+const rewriteIntervalMs = 6000;
 
 const peerKeyBytes = 24;
 
@@ -40,6 +40,12 @@
 const peerKeyPatienceMs = 1000;
 const peerKeyWriteProbability = 0.2;
 
+/** When a ban of this instance was decided, and when it was last written to the store. */
+interface OwnBan {
+  readonly bannedAt: number;
+  readonly writtenAt: number;
+}
+
 /** Another instance. */
 export interface Peer {
   /** IP address and port for connections of peers. */
@@ -78,6 +84,9 @@
 
   readonly #bans = new Set<string>();
 
+  /** Bans that this instance has decided, which it writes again when the store loses them. */
+  readonly #ownBans = new Map<string, OwnBan>();
+
   #items: readonly StoreItem[] = [];
 
   #digest = '';
@@ -101,7 +110,7 @@
     this.#startedAt = options.clock.now();
   }
 
-  /** Digest of the known keys and their revisions. */
+  /** Digest of the known keys and their values. */
   get digest(): string {
     return this.#digest;
   }
@@ -158,13 +167,7 @@
   async writeBan(fingerprint: string): Promise<void> {
     if (this.#bans.has(fingerprint)) return;
     this.#bans.add(fingerprint);
-    const key = `${banPrefix}${fingerprint}`;
-    const lease = await this.#getOrCreateLease();
-    const written = await this.#options.store.put({ key, value: Buffer.from('{}'), lease });
-    if (written.isErr()) {
-      this.#bans.delete(fingerprint);
-      this.#options.log.warn('ban-unwritten', { fingerprint, reason: written.error.message });
-    }
+    await this.#putBan(fingerprint, this.#options.clock.now());
   }
 
   /** @returns Delay until the next poll of the store, in milliseconds. */
@@ -178,7 +181,7 @@
   #setItems(items: readonly StoreItem[]): void {
     const { instance, clock, onSize, onChange, onBan, onPeers } = this.#options;
     const now = clock.now();
-    const digest = hashRevisions(items);
+    const digest = hashItems(items);
     if (digest !== this.#digest) onChange();
     this.#items = items;
     this.#digest = digest;
@@ -214,11 +217,25 @@
     }
   }
 
-  /** Writes the registration of this instance and the peer key when the last listing lacks them. */
+  /**
+   * Writes the registration of this instance, its bans and the peer key when the last listing lacks
+   * them, also when the store has lost them by a restore.
+   */
   async #writeMissingKeys(): Promise<void> {
-    const isDue = this.#options.clock.now() - this.#registeredAt > registerIntervalMs;
-    if (!this.#isRegistered() && isDue) await this.#register();
-    if (this.#peerKey === undefined && this.#shouldWritePeerKey()) await this.#writePeerKey();
+    const isDue = (writtenAt: number) => this.#options.clock.now() - writtenAt > rewriteIntervalMs;
+    if (!this.#isRegistered() && isDue(this.#registeredAt)) await this.#register();
+    if (!this.#isListed(peerKeyKey) && this.#shouldWritePeerKey()) await this.#writePeerKey();
+    for (const [fingerprint, { bannedAt, writtenAt }] of this.#ownBans) {
+      const isExpired = this.#options.clock.now() - bannedAt > leaseMs;
+      if (isExpired) this.#ownBans.delete(fingerprint);
+      else if (!this.#isListed(banPrefix + fingerprint) && isDue(writtenAt)) {
+        await this.#putBan(fingerprint, bannedAt);
+      }
+    }
+  }
+
+  #isListed(key: string): boolean {
+    return this.#items.some((item) => item.key === key);
   }
 
   /**
@@ -256,6 +273,18 @@
     log.info('instance-registered', { ...self });
   }
 
+  async #putBan(fingerprint: string, bannedAt: number): Promise<void> {
+    const { store, clock, log } = this.#options;
+    this.#ownBans.set(fingerprint, { bannedAt, writtenAt: clock.now() });
+    const lease = await this.#getOrCreateLease();
+    const key = `${banPrefix}${fingerprint}`;
+    const written = await store.put({ key, value: Buffer.from('{}'), lease });
+    if (written.isOk()) return;
+    // The lease may have ended, or be lost by a restore of the store.
+    if (written.error.kind === 'refused') this.#lease = undefined;
+    log.warn('ban-unwritten', { fingerprint, reason: written.error.message });
+  }
+
   async #getOrCreateLease(): Promise<number | undefined> {
     if (this.#lease !== undefined) return this.#lease;
     const lease = await this.#options.store.createLease(leaseMs);
@@ -267,17 +296,20 @@
     return this.#lease;
   }
 
-  /** Writes a peer key unless one exists. The first write wins; other instances read its key. */
+  /**
+   * Writes the known peer key, or a new one, unless the store has one. The first write wins; other
+   * instances read its key.
+   */
   async #writePeerKey(): Promise<void> {
     const { store, log } = this.#options;
-    const value = Buffer.from(randomBytes(peerKeyBytes).toString('hex'));
+    const value = Buffer.from(this.#peerKey ?? randomBytes(peerKeyBytes).toString('hex'));
     const written = await store.put({ key: peerKeyKey, value, expected: 0 });
     if (written.isErr()) log.warn('peer-key-unwritten', { reason: written.error.message });
   }
 }
 
-function hashRevisions(items: readonly StoreItem[]): string {
+function hashItems(items: readonly StoreItem[]): string {
   const hash = createHash('sha1');
-  items.forEach(({ key, revision }) => hash.update(`${key} ${revision}\n`));
+  items.forEach(({ key, value }) => hash.update(`${key} ${value.length}\n`).update(value));
   return hash.digest('base64');
 }
--- a/packages/gateway/test/fleet.test.ts
+++ b/packages/gateway/test/fleet.test.ts
@@ -2,18 +2,28 @@
 import type { PlatformError, StoreItem, StoreListing, StorePut } from '@dotterelpass/store';
 import { createLogger, setLogDestination } from '@dotterelpass/telemetry';
 import { makeRandom, systemClock } from '@dotterelpass/values';
-import type { FailureDomain, InstanceId } from '@dotterelpass/values';
+import type { Clock, FailureDomain, InstanceId } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { Fleet } from '../src/fleet.js';
 
-/** A store in memory that counts the calls. */
+/** A store in memory that records the calls. */
 class MemoryStore extends KeyValueStore {
   readonly items = new Map<string, StoreItem>();
 
   readonly calls: string[] = [];
 
+  readonly #leases = new Set<number>();
+
+  #leaseCount = 0;
+
+  /** Loses all items and leases, as a restore from a copy that is older than these. */
+  restore(): void {
+    this.items.clear();
+    this.#leases.clear();
+  }
+
   override async read(): ReturnType<KeyValueStore['read']> {
     return err({ kind: 'unreachable', message: 'not used', applied: 'no' });
   }
@@ -27,15 +37,20 @@
     return err({ kind: 'unreachable', message: 'not used', applied: 'no' });
   }
 
-  override async put({ key, value }: StorePut): ReturnType<KeyValueStore['put']> {
+  override async put({ key, value, lease }: StorePut): ReturnType<KeyValueStore['put']> {
     this.calls.push(`put ${key}`);
+    if (lease !== undefined && !this.#leases.has(lease)) {
+      return err({ kind: 'refused', message: 'no such lease', applied: 'no' });
+    }
     this.items.set(key, { key, value, epoch: 1, revision: this.items.size + 1 });
     return ok(true);
   }
 
   override async createLease(): ReturnType<KeyValueStore['createLease']> {
     this.calls.push('lease');
-    return ok(1);
+    this.#leaseCount += 1;
+    this.#leases.add(this.#leaseCount);
+    return ok(this.#leaseCount);
   }
 
   override close(): void {}
@@ -52,12 +67,23 @@
   fleets = [];
 });
 
-function startFleet(store: KeyValueStore, name: string, address = `${name}:1`): void {
+/** Clock that runs faster than time, for waits of seconds. */
+const fastClock: Clock = {
+  now: () => systemClock.now() * 20,
+  readWallTime: () => systemClock.readWallTime(),
+};
+
+function startFleet(
+  store: KeyValueStore,
+  name: string,
+  address = `${name}:1`,
+  clock = systemClock,
+): Fleet {
   const fleet = new Fleet({
     store,
     instance: name as InstanceId,
     self: { address, failureDomain: 'z' as FailureDomain },
-    clock: systemClock,
+    clock,
     random: makeRandom(fleets.length),
     log: createLogger('test'),
     onSize: () => undefined,
@@ -67,6 +93,7 @@
   });
   fleets.push(fleet);
   void fleet.start();
+  return fleet;
 }
 
 const hasPeerKey = (store: MemoryStore) => store.items.has('dotterelpass/peer-key');
@@ -108,4 +135,44 @@
     const registrations = store.calls.filter((call) => call.includes('instances/'));
     expect(registrations).toHaveLength(writes);
   });
+
+  /**
+   * Guards against keys that stay lost after a restore of the store: instances that start later
+   * would find no peers, get another peer key, or run a request that crashes endpoints.
+   */
+  it('writes its registration, the peer key and its bans again when the store has lost them', async () => {
+    const store = new MemoryStore();
+    const fleet = startFleet(store, 'a', 'a:1', fastClock);
+    await vi.waitFor(() => expect(fleet.buildUpdate('').items).toHaveLength(2), 5000);
+    await fleet.writeBan('f1');
+    const listValues = () =>
+      [...store.items].map(([key, { value }]) => `${key} ${value.toString()}`).sort();
+    const before = listValues();
+    expect(before).toHaveLength(3);
+    store.restore();
+    await vi.waitFor(() => expect(listValues()).toEqual(before), 5000);
+  });
+
+  /** Guards against a ban that is never written because the lease of the instance was lost. */
+  it('writes a ban after the store has lost its lease', async () => {
+    const store = new MemoryStore();
+    const fleet = startFleet(store, 'a', 'a:1', fastClock);
+    await vi.waitFor(() => expect(hasPeerKey(store)).toBe(true));
+    store.restore();
+    await fleet.writeBan('f1');
+    await vi.waitFor(() => expect(store.items.has('dotterelpass/bans/f1')).toBe(true), 5000);
+  });
+
+  /** Guards against keys that another instance does not get: a restored store repeats revisions. */
+  it('has another digest when a value changes but not its revision', async () => {
+    const store = new MemoryStore();
+    const fleet = startFleet(store, 'a');
+    await vi.waitFor(() => expect(hasPeerKey(store)).toBe(true));
+    await vi.waitFor(() => expect(fleet.buildUpdate('').items).toHaveLength(2), 5000);
+    const before = fleet.digest;
+    const key = 'dotterelpass/instances/a';
+    const item = store.items.get(key) as StoreItem;
+    store.items.set(key, { ...item, value: Buffer.from('{"address":"b:1"}') });
+    await vi.waitFor(() => expect(fleet.digest).not.toBe(before), 5000);
+  });
 });
