Change the peer key of a running instance when the store has another

When a restore loses the peer key, an instance that starts before the others have written theirs again writes a new one. The others kept their first key until their process ended, so the fleet was in two parts that refused each other's connections, and each part read the store itself.

An instance now opens its peer links anew when the listed key differs from the one in use, and logs peer-key-replaced.

The test failed before: of three instances two, two and one answered a question to the fleet, and all three do now.

--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -68,6 +68,8 @@
 export class PeerSync {
   readonly #options: PeerSyncOptions;
 
+  #peerKey: string | undefined;
+
   #transport: PeerTransport | undefined;
 
   #peers: ReadonlyMap<InstanceId, Peer> = new Map();
@@ -105,12 +107,14 @@
   /**
    * Sets the peer key and the peers from the store.
    *
-   * @param peerKey - Key shared by all instances; the first one is used until the process ends.
+   * @param peerKey - Key shared by all instances. It only changes when a restored store has lost it.
    * @param peers - The other instances.
    */
   setPeers(peerKey: string, peers: ReadonlyMap<InstanceId, Peer>): void {
-    this.#transport ??= this.#openTransport(peerKey);
+    if (this.#stopped) return;
+    if (peerKey !== this.#peerKey) this.#replacePeerKey(peerKey);
     const transport = this.#transport;
+    if (!transport) return;
     this.#peers = peers;
     peers.forEach(({ address }, instance) => transport.setAddress(instance, address));
     [...transport.addresses.keys()]
@@ -177,6 +181,14 @@
     return answer.value as unknown as InstanceSummary;
   }
 
+  #replacePeerKey(peerKey: string): void {
+    if (this.#peerKey !== undefined) this.#options.log.warn('peer-key-replaced');
+    this.#peerKey = peerKey;
+    this.#transport?.close();
+    this.#transport = this.#openTransport(peerKey);
+    this.#avoidUntil.clear();
+  }
+
   #openTransport(peerKey: string): PeerTransport {
     const { instance, incarnation, ip, port, replica, fleet, clock, log } = this.#options;
     const transport = new PeerTransport({ instance, incarnation }, peerKey, log);
