Tell peers the removal of endpoints kept after a store outage

After an outage an instance keeps missing registrations for 1.8 s, but took over the revision of the listing at once and sent it to its peers. It removed the endpoint by a later listing. If the store had not changed meanwhile, that listing had the same revision, so the removal was not among the changes since the revision that the peers had. A restart of the instance that reads the store had the same effect.

A listing with missing registrations that are kept now changes the entries but not the revision. Peers get the changed entries with the revision from before, and the removal once the listing is complete. An entry that is newer than the revision with which it came counts as changed at its own revision, so that the peers of a peer get it too. A peer that has read the store itself in this time is ahead of that instance and reads on by itself until the grace period ends; what these listings cost has not been measured.

--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -20,7 +20,10 @@
   readonly item: StoreItem;
   /** Undefined when the item cannot be decoded. */
   readonly registration: Registration | undefined;
-  /** Position of the listing that contained the last change other than a heartbeat. */
+  /**
+   * Position of the listing or changes that contained the last change other than a heartbeat, or of
+   * the item if that is later.
+   */
   readonly changedAt: StorePosition;
 }
 
@@ -56,7 +59,7 @@
     this.#decode = decode;
   }
 
-  /** Position of the newest listing or changes. */
+  /** Position up to which the registrations are complete. */
   get position(): StorePosition {
     return this.#position;
   }
@@ -72,23 +75,22 @@
   }
 
   /**
-   * Applies a listing from the store. A listing older than the present position is ignored.
+   * Applies a listing from the store. A listing older than the present position is ignored. The
+   * position does not advance while registrations are kept that are not listed: an instance with
+   * the position of the listing would never get their removal if it is at the same position.
    *
    * @param listing - The listing.
    * @param keepMissing - Whether registrations that are not listed are kept.
-   * @returns Whether the listing was applied.
+   * @returns Whether the registrations are now complete up to the position of the listing.
    */
   applyListing(listing: StoreListing, keepMissing: boolean): boolean {
     const { items, position } = listing;
     if (comparePositions(position, this.#position) < 0) return false;
     this.#mergeItems(items, position);
-    if (!keepMissing) {
-      const listed = new Set(items.map(({ key }) => key));
-      this.#removeKeys(
-        [...this.#entries.keys()].filter((key) => !listed.has(key)),
-        position,
-      );
-    }
+    const listed = new Set(items.map(({ key }) => key));
+    const missing = [...this.#entries.keys()].filter((key) => !listed.has(key));
+    if (keepMissing && missing.length > 0) return false;
+    this.#removeKeys(missing, position);
     this.#advance(position, this.#oldestKnownPosition ?? position);
     return true;
   }
@@ -141,7 +143,9 @@
       if (this.#isFromCopy(item, registration)) return;
       const isUnchanged =
         existing !== undefined && isSameRegistration(existing.registration, registration);
-      const changedAt = isUnchanged ? existing.changedAt : position;
+      // Changes contain later items while their sender keeps missing registrations.
+      const readAt = comparePositions(item, position) > 0 ? item : position;
+      const changedAt = isUnchanged ? existing.changedAt : readAt;
       this.#entries.set(item.key, { item, registration, changedAt });
       this.#removed.delete(item.key);
     });
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -128,6 +128,9 @@
   /** Until when the configuration from another instance is fresh, so that no watch is needed. */
   #configFreshUntil = -Infinity;
 
+  /** Epoch of the store in the last listing or update; -1 before the first. */
+  #epoch = -1;
+
   #registrationsReadAt = -Infinity;
 
   /**
@@ -333,8 +336,8 @@
       // The store responds, so a pending watch would have reported a change of the configuration.
       if (this.#isWatchPending) this.#configCheckedAt = startedAt;
       const keepMissing = clock.now() < this.#keepMissingUntil;
-      const isApplied = this.#changeLog.applyListing(listing.value, keepMissing);
-      if (isApplied && !keepMissing) this.#mayMissRemovals = false;
+      const isComplete = this.#changeLog.applyListing(listing.value, keepMissing);
+      if (isComplete) this.#mayMissRemovals = false;
       this.#options.target.setRegistrations(this.#changeLog.registrations);
       this.#options.onChange();
     }
@@ -399,7 +402,8 @@
    */
   #recordEpoch({ epoch }: StorePosition): void {
     const { clock, log, metrics } = this.#options;
-    const { epoch: before } = this.#changeLog.position;
+    const before = this.#epoch;
+    this.#epoch = Math.max(before, epoch);
     if (before < 0 || epoch <= before) return;
     this.#keepMissingUntil = clock.now() + reregisterGraceMs;
     metrics.recordEvent('store-restored');
--- a/packages/gateway/test/changes.test.ts
+++ b/packages/gateway/test/changes.test.ts
@@ -205,4 +205,65 @@
     expect(follower.registrations).toEqual(reader.registrations);
     expect(follower.getChangesSince(at(9)).isWhole).toBe(true);
   });
+
+  /**
+   * Guards against endpoints that stay in use after the grace period (soak seed 5002): a peer that
+   * has the revision of a listing with missing entries must still get their removal, which may be
+   * at the same revision.
+   */
+  describe('with an entry that is missing during the grace period', () => {
+    const listing = { items: [makeItem('e1:ready:2', 11), makeItem('e3:ready:1', 12)] };
+
+    /** Creates a reader in the grace period, a peer that follows it and one that follows the peer. */
+    function makeChain(): readonly [ChangeLog, ChangeLog, ChangeLog] {
+      const [reader, peer, last] = [
+        makeLog(),
+        new ChangeLog(decodeItem),
+        new ChangeLog(decodeItem),
+      ];
+      const chain = [reader, peer, last] as const;
+      syncChain(chain);
+      reader.applyListing({ ...listing, position: at(12) }, true);
+      return chain;
+    }
+
+    function syncChain([reader, peer, last]: readonly [ChangeLog, ChangeLog, ChangeLog]): void {
+      peer.applyChanges(reader.getChangesSince(peer.position));
+      last.applyChanges(peer.getChangesSince(last.position));
+    }
+
+    it('sends changes of other entries at once', () => {
+      const chain = makeChain();
+      syncChain(chain);
+      expect(chain.map(listIds)).toEqual(Array(3).fill(['e1', 'e2', 'e3']));
+    });
+
+    it.each([
+      { name: 'at the same revision', revision: 12, isSynced: true },
+      { name: 'at a later revision', revision: 13, isSynced: true },
+      { name: 'to peers that got nothing during the grace period', revision: 12, isSynced: false },
+    ])('sends its removal $name', ({ revision, isSynced }) => {
+      const chain = makeChain();
+      if (isSynced) syncChain(chain);
+      chain[0].applyListing({ ...listing, position: at(revision) }, false);
+      syncChain(chain);
+      expect(chain.map(listIds)).toEqual(Array(3).fill(['e1', 'e3']));
+      expect(chain.map((log) => log.position)).toEqual(Array(3).fill(at(revision)));
+    });
+
+    it('sends a full snapshot after a restart, which does not replace a listing', () => {
+      const chain = makeChain();
+      syncChain(chain);
+      const restarted = new ChangeLog(decodeItem);
+      restarted.applyListing({ ...listing, position: at(12) }, false);
+      expect(restarted.getChangesSince(chain[1].position).isWhole).toBe(true);
+    });
+
+    it('removes it after a listing of its own at the same revision', () => {
+      const chain = makeChain();
+      syncChain(chain);
+      chain[1].applyListing({ ...listing, position: at(12) }, false);
+      expect(listIds(chain[1])).toEqual(['e1', 'e3']);
+    });
+  });
 });
