--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -61,6 +61,13 @@
   }
 }
 
+/** A store that was restored from a copy without registrations. */
+class RestoredStore extends UnavailableStore {
+  override async list(): Promise<Result<StoreListing, PlatformError>> {
+    return ok({ items: [], position: at(3, 2) });
+  }
+}
+
 const makeRegistration = (id: string): Registration => ({
   id: id as EndpointId,
   service: 'a' as ServiceId,
@@ -234,6 +241,19 @@
   });
 });
 
+describe('registrations that a restored store has lost', () => {
+  /** Guards against a grace period that begins anew with each listing and so never ends. */
+  it('are kept for the grace period and removed at its end', async () => {
+    const replica = makeReplica(new RestoredStore(), systemClock);
+    replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }, { listedAgeMs: 9000 }), 'peer');
+    replica.start();
+    await vi.waitFor(() => expect(appliedIds.length).toBeGreaterThan(1));
+    expect(appliedIds).toEqual([['e1'], ['e1']]);
+    await vi.waitFor(() => expect(appliedIds.at(-1)).toEqual([]), 5000);
+    replica.stop();
+  });
+});
+
 describe('registrations that are missing after a store outage', () => {
   /**
    * Guards against calls to an endpoint that left during the outage. An instance must be up to date
