Record requests that the caller server refuses itself

Operators who were told of rejected calls could not see whether an instance had rejected them: a malformed, ambiguous or too large request (400, 408, 413, 417, 431, 501) was refused without a log line and without a count. Only a missing route (404) was recorded.

The caller server now reports each refusal that it sends without calling its handler, and the gateway logs it as request-failed and counts it as refused-<status>, like a missing route.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,10 +157,11 @@
       getStopDeadline: () => this.#stopDeadline,
       readCallerBounds: () => this.#config?.bounds ?? initialBounds,
     });
-    this.#callers = new CallerServer((call) => handler.handleCall(call), {
-      idleMs: initialBounds.idleMs,
-      headersTimeoutMs: initialBounds.headersTimeoutMs,
-    });
+    this.#callers = new CallerServer(
+      (call) => handler.handleCall(call),
+      { idleMs: initialBounds.idleMs, headersTimeoutMs: initialBounds.headersTimeoutMs },
+      (refusal, request) => handler.recordRefusal(refusal, request),
+    );
   }
 
   get callers(): CallerServer {
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -1,4 +1,5 @@
 import { createHash, hash as hashOneShot } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
 import { copyEndToEndHeaders, forwardResponseBody, readBody, refuse } from '@dotterelpass/proxy';
 import type { RequestBody, IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
@@ -130,6 +131,24 @@
     this.#recordOutcome(incoming, id, route, timing, outcome, ms, records);
   }
 
+  /**
+   * Records a request that is refused before it is sent to an endpoint. Without this record, nothing
+   * shows which rejections that callers report are this instance's own.
+   *
+   * @param refusal - The refusal.
+   * @param request - The request; undefined for input that could not be parsed.
+   */
+  recordRefusal({ status, verdict, message }: Refusal, request: IncomingMessage | undefined): void {
+    const { log, metrics, headerCodec } = this.#options;
+    metrics.recordEvent(`refused-${status}`);
+    log.info('request-failed', {
+      requestId: request && headerCodec.parseRequestHeaders(request.headers).id,
+      status,
+      verdict,
+      reason: message,
+    });
+  }
+
   /** Whether a call that arrives now is answered before this instance stops. */
   #canFinish(route: Route, now: number): boolean {
     const { latency, getStopDeadline } = this.#options;
@@ -261,15 +280,8 @@
   }
 
   #refuseEarly(incoming: IncomingCall, refusal: Refusal, waitMs?: number): void {
-    const { log, metrics, headerCodec } = this.#options;
-    const outcome = this.#respondWithRefusal(incoming, refusal, 'early', waitMs);
-    metrics.recordEvent(`refused-${outcome.status}`);
-    log.info('request-failed', {
-      requestId: headerCodec.parseRequestHeaders(incoming.request.headers).id,
-      status: outcome.status,
-      verdict: outcome.verdict,
-      reason: refusal.message,
-    });
+    this.#respondWithRefusal(incoming, refusal, 'early', waitMs);
+    this.recordRefusal(refusal, incoming.request);
   }
 
   #recordOutcome(
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -27,6 +27,14 @@
 /** Handles a call. A rejected promise is a bug of this program and closes the connection. */
 export type CallHandler = (call: IncomingCall) => Promise<void>;
 
+/**
+ * Observes the requests that the server refuses without calling the handler.
+ *
+ * @param refusal - The refusal that is sent.
+ * @param request - The request; undefined for input that could not be parsed.
+ */
+export type RefusalListener = (refusal: Refusal, request: IncomingMessage | undefined) => void;
+
 /** Limits on callers, in milliseconds and bytes. */
 export interface CallerLimits {
   /** Time limit for the headers of a request. */
@@ -107,6 +115,8 @@
 
   readonly #limits: CallerLimits;
 
+  readonly #onRefusal: RefusalListener;
+
   readonly #connections = new Map<Duplex, CallerConnection>();
 
   #activeCalls = 0;
@@ -118,10 +128,16 @@
   /**
    * @param handle - Handles one call.
    * @param limits - Limits that differ from the defaults.
+   * @param onRefusal - Observes the requests that are refused here.
    */
-  constructor(handle: CallHandler, limits: Partial<CallerLimits> = {}) {
+  constructor(
+    handle: CallHandler,
+    limits: Partial<CallerLimits> = {},
+    onRefusal: RefusalListener = () => undefined,
+  ) {
     this.#handle = handle;
     this.#limits = { ...defaultLimits, ...limits };
+    this.#onRefusal = onRefusal;
     this.#server = createServer({
       headersTimeout: this.#limits.headersTimeoutMs,
       // The time for a body is limited by the deadline of its call, which rules may set high.
@@ -137,9 +153,10 @@
     this.#server.on('connection', (socket) => this.#addConnection(socket));
     this.#server.on('request', (request, response) => this.#handleRequest(request, response));
     this.#server.on('checkContinue', (request, response) => this.#handleRequest(request, response));
-    this.#server.on('checkExpectation', (_request, response: ServerResponse) => {
+    this.#server.on('checkExpectation', (request, response: ServerResponse) => {
       const message = 'the only supported expectation is 100-continue';
-      refuse(response, chooseRequestId(undefined), { status: 417, verdict: 'not-run', message });
+      const refusal = { status: 417, verdict: 'not-run', message } as const;
+      this.#refuseRequest(request, response, chooseRequestId(undefined), refusal);
     });
     this.#server.on('connect', (_request, socket) => {
       const message = 'CONNECT is not supported';
@@ -251,7 +268,7 @@
     const id = chooseRequestId(request.headers['x-request-id']);
     const target = readTarget(request);
     if (target.isErr()) {
-      refuse(response, id, target.error);
+      this.#refuseRequest(request, response, id, target.error);
       return;
     }
     const call: IncomingCall = {
@@ -303,11 +320,23 @@
     request.once('close', () => clearTimeout(timer));
   }
 
+  #refuseRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: RequestId,
+    refusal: Refusal,
+  ): void {
+    this.#onRefusal(refusal, request);
+    refuse(response, id, refusal);
+  }
+
   /** Refuses malformed input, after the responses to the requests that came before it. */
   #rejectInput(socket: Duplex, refusal: Refusal): void {
     const connection = this.#connections.get(socket);
     const response = formatRawResponse(chooseRequestId(undefined), refusal);
     const last = connection?.lastResponse;
+    // The handler of a call learns of a failure of its body below.
+    if (!last || last.req.complete) this.#onRefusal(refusal, undefined);
     if (!connection || !last) {
       socket.end(response);
       return;
