Let callers reconnect when the header limit has been raised

On a connection that was opened before the header limit was raised, callers got 431 for headers that the limit in force allows, and did not send the request again. The connections that an instance accepts before its first configuration have the initial 16 KiB for as long as they stay open.

Cause: Node's parser keeps the limit with which its connection was opened.

Headers beyond the limit of such a connection are now refused with 503, the verdict not-run and a short Retry-After, so that the caller sends the request on a new connection, to which the limit in force applies. Headers that this limit does not allow either get their 431 there.

Two of the four new cases of caller.test.ts failed before (431 in place of 503); the other two guard new connections.

--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -69,8 +69,14 @@
   maxPipelinedCalls: 256,
 };
 
+/** `Retry-After` of a refusal that a new connection avoids, in seconds. */
+const reconnectRetryAfterSeconds = 0.01;
+
 /** A connection of a caller. */
 class CallerConnection {
+  /** Header limit of the connection; Node keeps the one with which a connection was opened. */
+  readonly maxHeaderBytes: number;
+
   /** Calls whose response is not complete, oldest first. */
   readonly calls = new Map<ServerResponse, Cancellation>();
 
@@ -78,6 +84,11 @@
 
   #discardedRequests = 0;
 
+  /** @param maxHeaderBytes - Header limit in force when the connection is opened. */
+  constructor(maxHeaderBytes: number) {
+    this.maxHeaderBytes = maxHeaderBytes;
+  }
+
   /**
    * Raw response to malformed input, sent after the responses to the calls before the input. It is
    * empty when the connection only ends then, and undefined when it stays open.
@@ -115,6 +126,9 @@
 
   readonly #limits: CallerLimits;
 
+  /** Header limit of new connections. */
+  #maxHeaderBytes: number;
+
   readonly #onRefusal: RefusalListener;
 
   readonly #connections = new Map<Duplex, CallerConnection>();
@@ -137,6 +151,7 @@
   ) {
     this.#handle = handle;
     this.#limits = { ...defaultLimits, ...limits };
+    this.#maxHeaderBytes = this.#limits.maxHeaderBytes;
     this.#onRefusal = onRefusal;
     this.#server = createServer({
       headersTimeout: this.#limits.headersTimeoutMs,
@@ -164,7 +179,7 @@
     });
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (error.code === 'ECONNRESET' || !socket.writable) socket.destroy();
-      else this.#rejectInput(socket, makeRefusal(error));
+      else this.#rejectInput(socket, this.#makeInputRefusal(socket, error));
     });
   }
 
@@ -197,6 +212,7 @@
     this.#server.headersTimeout = limits.headersTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleMs;
     // Node reads `maxHeaderSize` for each new connection.
+    this.#maxHeaderBytes = limits.maxHeaderBytes;
     Object.assign(this.#server, { maxHeaderSize: limits.maxHeaderBytes });
   }
 
@@ -227,7 +243,7 @@
   }
 
   #addConnection(socket: Socket): void {
-    const connection = new CallerConnection();
+    const connection = new CallerConnection(this.#maxHeaderBytes);
     this.#connections.set(socket, connection);
     socket.on('close', () => {
       this.#connections.delete(socket);
@@ -330,6 +346,21 @@
     refuse(response, id, refusal);
   }
 
+  #makeInputRefusal(socket: Duplex, error: NodeJS.ErrnoException): Refusal {
+    const maxHeaderBytes = this.#connections.get(socket)?.maxHeaderBytes ?? Infinity;
+    if (error.code !== 'HPE_HEADER_OVERFLOW' || maxHeaderBytes >= this.#maxHeaderBytes) {
+      return makeRefusal(error);
+    }
+    // The limit in force may allow the headers, and callers do not retry after a 431 response.
+    const message = 'the headers exceed the limit of this connection, which has been raised since';
+    return {
+      status: 503,
+      verdict: 'not-run',
+      message,
+      retryAfterSeconds: reconnectRetryAfterSeconds,
+    };
+  }
+
   /** Refuses malformed input, after the responses to the requests that came before it. */
   #rejectInput(socket: Duplex, refusal: Refusal): void {
     const connection = this.#connections.get(socket);
--- a/packages/proxy/test/caller.test.ts
+++ b/packages/proxy/test/caller.test.ts
@@ -320,6 +320,41 @@
     expect(runs).toBe(0);
   });
 
+  /**
+   * Guards against rejecting, on a connection that was opened under a lower limit, headers that the
+   * limit in force allows: callers do not send a request again after a 431 response.
+   */
+  it.each([
+    { name: 'allows, so that it is sent again', bytes: 20_000, status: 503 },
+    { name: 'does not allow', bytes: 40_000, status: 503 },
+    { name: 'allows', bytes: 20_000, status: 200, isNew: true },
+    { name: 'does not allow', bytes: 40_000, status: 431, isNew: true },
+  ])('answers $status to headers that a raised limit $name', async ({ bytes, status, isNew }) => {
+    const raising = new CallerServer(async ({ response }) => {
+      response.end('first');
+    });
+    const raisingPort = await raising.listen('127.0.0.1', 0);
+    const limits = { headersTimeoutMs: 1000, idleMs: 1000, maxHeaderBytes: 32 * 1024 };
+    if (isNew) raising.setLimits(limits);
+    const answered = exchange(
+      raisingPort,
+      [
+        `GET /1 HTTP/1.1\r\n${hostHeader}\r\n`,
+        100,
+        `GET /2 HTTP/1.1\r\n${hostHeader}X-A: ${'x'.repeat(bytes)}\r\n\r\n`,
+      ],
+      (text) => text.split('HTTP/1.1 ').length > 2,
+    );
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    raising.setLimits(limits);
+    const [, , second = ''] = (await answered).text.split('HTTP/1.1 ');
+    expect(second.slice(0, 3)).toBe(String(status));
+    expect(/retry-after: 0/.test(second)).toBe(status === 503);
+    await raising.close(100);
+  });
+
   describe('pipelining', () => {
     let runs: string[] = [];
     const pipelining = new CallerServer(
