--- a/packages/proxy/test/caller.test.ts
+++ b/packages/proxy/test/caller.test.ts
@@ -254,6 +254,30 @@
     expect(refused.end).toBe('end');
   });
 
+  /**
+   * Guards against reading the rest of a body, which arrives after the call was refused, as the next
+   * request: the caller would get a 400 response to it in place of its next answer.
+   */
+  it.each([
+    {
+      name: 'with a length',
+      head: `POST /refuse HTTP/1.1\r\n${hostHeader}Content-Length: 10\r\n\r\n`,
+      parts: ['GET /', ' HTTP'],
+    },
+    {
+      name: 'in chunks',
+      head: `POST /refuse HTTP/1.1\r\n${hostHeader}${chunkedHeader}\r\n`,
+      parts: ['5\r\nGET', ` /\r\n${lastChunk}`],
+    },
+  ])('serves the request behind a refused one $name', async ({ head, parts: [first, rest] }) => {
+    const next = `GET /next HTTP/1.1\r\n${hostHeader}\r\n`;
+    const { text } = await exchange(port, [`${head}${first}`, 50, `${rest}${next}`], (received) =>
+      received.includes('a/next 0'),
+    );
+    expect(text.match(/HTTP\/1.1 \d+/g)).toEqual(['HTTP/1.1 404', 'HTTP/1.1 200']);
+    expect(handled).toEqual(['/refuse', '/next']);
+  });
+
   it.each([
     { name: 'headers', steps: [`GET / HTTP/1.1\r\nHost:`], status: 408 },
     {
