--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -27,6 +27,14 @@
 /** Handles a call. A rejected promise is a bug of this program and closes the connection. */
 export type CallHandler = (call: IncomingCall) => Promise<void>;
 
+/**
+ * Observes the requests that the server refuses without calling the handler.
+ *
+ * @param refusal - The refusal that is sent.
+ * @param request - The request; undefined for input that could not be parsed.
+ */
+export type RefusalListener = (refusal: Refusal, request: IncomingMessage | undefined) => void;
+
 /** Limits on callers, in milliseconds and bytes. */
 export interface CallerLimits {
   /** Time limit for the headers of a request. */
@@ -61,8 +69,14 @@
   maxPipelinedCalls: 256,
 };
 
+/** `Retry-After` of a refusal that a new connection avoids, in seconds. */
+const reconnectRetryAfterSeconds = 0.01;
+
 /** A connection of a caller. */
 class CallerConnection {
+  /** Header limit of the connection; Node keeps the one with which a connection was opened. */
+  readonly maxHeaderBytes: number;
+
   /** Calls whose response is not complete, oldest first. */
   readonly calls = new Map<ServerResponse, Cancellation>();
 
@@ -70,6 +84,11 @@
 
   #discardedRequests = 0;
 
+  /** @param maxHeaderBytes - Header limit in force when the connection is opened. */
+  constructor(maxHeaderBytes: number) {
+    this.maxHeaderBytes = maxHeaderBytes;
+  }
+
   /**
    * Raw response to malformed input, sent after the responses to the calls before the input. It is
    * empty when the connection only ends then, and undefined when it stays open.
@@ -107,6 +126,11 @@
 
   readonly #limits: CallerLimits;
 
+  /** Header limit of new connections. */
+  #maxHeaderBytes: number;
+
+  readonly #onRefusal: RefusalListener;
+
   readonly #connections = new Map<Duplex, CallerConnection>();
 
   #activeCalls = 0;
@@ -118,10 +142,17 @@
   /**
    * @param handle - Handles one call.
    * @param limits - Limits that differ from the defaults.
+   * @param onRefusal - Observes the requests that are refused here.
    */
-  constructor(handle: CallHandler, limits: Partial<CallerLimits> = {}) {
+  constructor(
+    handle: CallHandler,
+    limits: Partial<CallerLimits> = {},
+    onRefusal: RefusalListener = () => undefined,
+  ) {
     this.#handle = handle;
     this.#limits = { ...defaultLimits, ...limits };
+    this.#maxHeaderBytes = this.#limits.maxHeaderBytes;
+    this.#onRefusal = onRefusal;
     this.#server = createServer({
       headersTimeout: this.#limits.headersTimeoutMs,
       // The time for a body is limited by the deadline of its call, which rules may set high.
@@ -137,9 +168,10 @@
     this.#server.on('connection', (socket) => this.#addConnection(socket));
     this.#server.on('request', (request, response) => this.#handleRequest(request, response));
     this.#server.on('checkContinue', (request, response) => this.#handleRequest(request, response));
-    this.#server.on('checkExpectation', (_request, response: ServerResponse) => {
+    this.#server.on('checkExpectation', (request, response: ServerResponse) => {
       const message = 'the only supported expectation is 100-continue';
-      refuse(response, chooseRequestId(undefined), { status: 417, verdict: 'not-run', message });
+      const refusal = { status: 417, verdict: 'not-run', message } as const;
+      this.#refuseRequest(request, response, chooseRequestId(undefined), refusal);
     });
     this.#server.on('connect', (_request, socket) => {
       const message = 'CONNECT is not supported';
@@ -147,7 +179,7 @@
     });
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (error.code === 'ECONNRESET' || !socket.writable) socket.destroy();
-      else this.#rejectInput(socket, makeRefusal(error));
+      else this.#rejectInput(socket, this.#makeInputRefusal(socket, error));
     });
   }
 
@@ -180,6 +212,7 @@
     this.#server.headersTimeout = limits.headersTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleMs;
     // Node reads `maxHeaderSize` for each new connection.
+    this.#maxHeaderBytes = limits.maxHeaderBytes;
     Object.assign(this.#server, { maxHeaderSize: limits.maxHeaderBytes });
   }
 
@@ -210,7 +243,7 @@
   }
 
   #addConnection(socket: Socket): void {
-    const connection = new CallerConnection();
+    const connection = new CallerConnection(this.#maxHeaderBytes);
     this.#connections.set(socket, connection);
     socket.on('close', () => {
       this.#connections.delete(socket);
@@ -251,7 +284,7 @@
     const id = chooseRequestId(request.headers['x-request-id']);
     const target = readTarget(request);
     if (target.isErr()) {
-      refuse(response, id, target.error);
+      this.#refuseRequest(request, response, id, target.error);
       return;
     }
     const call: IncomingCall = {
@@ -303,11 +336,38 @@
     request.once('close', () => clearTimeout(timer));
   }
 
+  #refuseRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: RequestId,
+    refusal: Refusal,
+  ): void {
+    this.#onRefusal(refusal, request);
+    refuse(response, id, refusal);
+  }
+
+  #makeInputRefusal(socket: Duplex, error: NodeJS.ErrnoException): Refusal {
+    const maxHeaderBytes = this.#connections.get(socket)?.maxHeaderBytes ?? Infinity;
+    if (error.code !== 'HPE_HEADER_OVERFLOW' || maxHeaderBytes >= this.#maxHeaderBytes) {
+      return makeRefusal(error);
+    }
+    // The limit in force may allow the headers, and callers do not retry after a 431 response.
+    const message = 'the headers exceed the limit of this connection, which has been raised since';
+    return {
+      status: 503,
+      verdict: 'not-run',
+      message,
+      retryAfterSeconds: reconnectRetryAfterSeconds,
+    };
+  }
+
   /** Refuses malformed input, after the responses to the requests that came before it. */
   #rejectInput(socket: Duplex, refusal: Refusal): void {
     const connection = this.#connections.get(socket);
     const response = formatRawResponse(chooseRequestId(undefined), refusal);
     const last = connection?.lastResponse;
+    // The handler of a call learns of a failure of its body below.
+    if (!last || last.req.complete) this.#onRefusal(refusal, undefined);
     if (!connection || !last) {
       socket.end(response);
       return;
