Limit the bytes of answers that wait behind an earlier one

Cause: the answers to pipelined requests were read as soon as they came and held until the answers before them had been sent. Only the number of requests of a connection was limited (256), so one caller could make an instance hold 256 answers of up to 1 MiB, and more callers any amount.

Change: each call behind another one reserves memory before it is sent (192 KiB, what reads of its connection can take) and for each part of its answer that is buffered; at most 8 MiB for a connection and 128 MiB for the process. Without room a request is not sent, and an answer stays with its endpoint, until the answers before it have been sent; a request also goes on when others make room. The first call of a connection never waits for room, so that all of them go on in the end. An answer that was left with its endpoint is read whole once its turn has come, as before. Time spent waiting counts to the deadline of the call: 504 for what was sent, 503 for what was not.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -1,5 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import { hasWholeBody } from '@dotterelpass/proxy';
+import type { ResponseTurn } from '@dotterelpass/proxy';
+import { createCancelledFailure } from './call.js';
+import type { Call, CallResponse, CallResult } from './call.js';
 
 /** Bodies up to this size are buffered completely before the caller gets the first byte. */
 const maxBufferedBytes = 1024 * 1024;
@@ -7,23 +10,34 @@
 /** Result of reading a response body. */
 export type ResponseBodyResult =
   | { readonly kind: 'whole'; readonly bytes: Buffer }
-  /** The body exceeds the buffer limit and is streamed instead. */
+  /**
+   * The body exceeds the buffer limit, or the limit on responses that wait for their turn. What was
+   * read has been given back to the stream, which is paused.
+   */
   | { readonly kind: 'large' }
   | { readonly kind: 'cut'; readonly message: string };
 
 /**
  * Buffers a response body, so that the caller gets either the complete body or none of it.
  *
- * @param response - The response; nothing may have read from its body before.
+ * @param response - The response; its body is read from the start.
  * @param timeoutMs - Timeout for the complete body, in milliseconds.
+ * @param turn - Turn of the response to the caller, which limits what is buffered before it comes.
  * @returns The body, or the reason why it is not available. Unless the body is `large`, the
  * connection has been returned to the pool or closed.
  */
 export async function readResponseBody(
   response: IncomingMessage,
   timeoutMs: number,
+  turn?: ResponseTurn,
 ): Promise<ResponseBodyResult> {
-  if (Number(response.headers['content-length'] ?? 0) > maxBufferedBytes) return { kind: 'large' };
+  if (response.destroyed && !response.complete) {
+    return { kind: 'cut', message: 'connection closed before the response body was read' };
+  }
+  if (Number(response.headers['content-length'] ?? 0) > maxBufferedBytes) {
+    response.pause();
+    return { kind: 'large' };
+  }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
@@ -49,8 +63,8 @@
     const handleData = (chunk: Buffer) => {
       size += chunk.length;
       chunks.push(chunk);
-      if (size <= maxBufferedBytes) return;
-      // The body is longer than its headers told. What has been read is given back to the stream.
+      if (size <= maxBufferedBytes && (!turn || turn.reserve(chunk.length))) return;
+      // The length is not known before, without a Content-Length header.
       clearTimeout(timer);
       response.off('data', handleData).off('end', handleEnd).off('close', handleClose).pause();
       response.unshift(Buffer.concat(chunks));
@@ -58,5 +72,38 @@
     };
     response.on('data', handleData).on('end', handleEnd).on('close', handleClose);
     response.on('error', (error) => fail(error.message));
+    // The response is paused if an earlier call of this function has given a part of it back.
+    response.resume();
   });
 }
+
+/**
+ * Waits until the turn of a response has come whose body was left with the endpoint, and reads it.
+ *
+ * @param call - The call.
+ * @param answer - Response with an unbuffered body.
+ * @returns The response, with its body if that can be buffered, or the reason why it is not
+ * available. The caller must get either before the deadline of the call.
+ */
+export async function readAfterTurn(call: Call, answer: CallResponse): Promise<CallResult> {
+  const { incoming, deadlineAt } = call;
+  const { response, finish } = answer;
+  const verdict = 'may-have-run';
+  const hasCome = await incoming.turn.wait(deadlineAt - performance.now(), incoming.cancellation);
+  if (!hasCome) {
+    response.destroy();
+    finish('cancelled');
+    if (incoming.cancellation.aborted) return { ...createCancelledFailure(), verdict };
+    const message = 'the deadline passed behind earlier calls of the connection';
+    return { kind: 'failed', verdict, reason: 'timeout', message };
+  }
+  const body = await readResponseBody(response, Math.max(1, deadlineAt - performance.now()));
+  if (body.kind === 'large') return answer;
+  if (body.kind === 'whole') {
+    finish('answered');
+    return { ...answer, bufferedBody: body.bytes, finish: () => undefined };
+  }
+  finish('failed');
+  const reason = performance.now() >= deadlineAt ? 'timeout' : 'reset';
+  return { kind: 'failed', verdict, reason, message: body.message };
+}
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -3,6 +3,7 @@
 import type { RequestBody, IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
 import { match } from 'ts-pattern';
+import { readAfterTurn } from './body.js';
 import type { CallSender } from './sender.js';
 import type { AttemptRecord, Call, CallResult } from './call.js';
 import { getCallClass } from './catalog.js';
@@ -84,7 +85,8 @@
    * @param incoming - The call as received from the caller.
    */
   async handleCall(incoming: IncomingCall): Promise<void> {
-    const startedAt = performance.now();
+    // The time behind earlier calls of the connection counts towards the deadline.
+    const startedAt = incoming.receivedAt;
     const { routes, headerCodec, callerTimeouts } = this.#options;
     const { request, target } = incoming;
     const { id, timeoutMs: callerTimeoutMs } = headerCodec.parseRequestHeaders(request.headers);
@@ -104,7 +106,7 @@
       this.#refuseEarly(incoming, { status: 404, verdict: 'not-run', message });
       return;
     }
-    if (!this.#canFinish(route, startedAt)) {
+    if (!this.#canFinish(route, performance.now())) {
       const message = 'this instance stops before the call could be answered';
       const refusal = { status: 503, verdict: 'not-run', message } as const;
       this.#refuseEarly(incoming, refusal, stoppingRetryAfterMs);
@@ -146,6 +148,11 @@
     const { routes, sender, crashes } = this.#options;
     const { request, target } = incoming;
     const remainingMs = deadlineAt - performance.now();
+    if (remainingMs <= 0) {
+      const message = 'the deadline passed behind earlier calls of the connection';
+      const refusal = { status: 503, verdict: 'not-run', message } as const;
+      return this.#respondWithRefusal(incoming, refusal, 'timeout');
+    }
     const body = await readBody(
       request,
       this.#options.readCallerBounds().maxBodyBytes,
@@ -185,7 +192,11 @@
 
   async #respondWithResult(call: Call, result: CallResult): Promise<CallOutcome> {
     const { incoming } = call;
-    if (result.kind === 'answer') return this.#respondWithUpstream(call, result);
+    if (result.kind === 'answer') {
+      const isLeftUnread = result.bufferedBody === undefined && !incoming.turn.hasCome;
+      if (isLeftUnread) return this.#respondWithResult(call, await readAfterTurn(call, result));
+      return this.#respondWithUpstream(call, result);
+    }
     if (incoming.response.destroyed || result.reason === 'cancelled') {
       incoming.response.destroy();
       return { status: 0, verdict: result.verdict, reason: 'caller-left' };
@@ -235,6 +246,7 @@
       const isBodiless = call.method === 'HEAD' || status === 204 || status === 304;
       if (!hasLength && !isBodiless) headers.push('content-length', String(bufferedBody.length));
       response.writeHead(status, headers).end(bufferedBody);
+      call.incoming.turn.reduceTo(bufferedBody.length);
       return { status, verdict: 'ran', reason };
     }
     response.writeHead(status, headers);
@@ -249,7 +261,7 @@
   }
 
   #respondWithRefusal(
-    { response, id }: IncomingCall,
+    { response, turn, id }: IncomingCall,
     refusal: Refusal,
     reason: string,
     waitMs?: number,
@@ -257,6 +269,7 @@
     const refusalWithRetry =
       waitMs === undefined ? refusal : { ...refusal, retryAfterSeconds: waitMs / 1000 };
     if (!response.destroyed) refuse(response, id, refusalWithRetry);
+    turn.reduceTo(0);
     return { status: refusal.status, verdict: refusal.verdict, reason };
   }
 
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -225,7 +225,11 @@
       const { message } = classification;
       return { kind: 'failed', verdict: 'may-have-run', reason: 'invalid', message };
     }
-    const body = await readResponseBody(response, Math.max(1, call.deadlineAt - performance.now()));
+    const body = await readResponseBody(
+      response,
+      Math.max(1, call.deadlineAt - performance.now()),
+      call.incoming.turn,
+    );
     if (classification.kind === 'not-run') {
       if (body.kind === 'large') response.destroy();
       finish(classification.reason, 'shed');
--- /dev/null
+++ b/packages/gateway/test/bed.ts
@@ -0,0 +1,170 @@
+import { createServer } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, RequestListener, Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { createLogger, Metrics } from '@dotterelpass/telemetry';
+import { makeRandom, systemClock } from '@dotterelpass/values';
+import type {
+  EndpointId,
+  FailureDomain,
+  InstanceId,
+  RequestId,
+  ServiceId,
+} from '@dotterelpass/values';
+import type { Route, RouteName } from '../src/catalog.js';
+import { HeaderCodec } from '../src/codec.js';
+import type { ProbeResult, ResponseClassification, ResponseHead } from '../src/codec.js';
+import { Gateway } from '../src/gateway.js';
+
+/** Slots of each endpoint, so that no call waits for one. */
+const slots = 200;
+
+const service = 'a' as ServiceId;
+
+/** Takes the id and the timeout of a call from `id` and `timeout-ms`. */
+class BedCodec extends HeaderCodec {
+  override readonly replacedRequestHeaders: ReadonlySet<string> = new Set();
+
+  override readonly internalResponseHeaders: ReadonlySet<string> = new Set();
+
+  override parseRequestHeaders({ id, 'timeout-ms': timeout }: IncomingHttpHeaders) {
+    const timeoutMs = timeout === undefined ? undefined : Number(timeout);
+    return { id: id as RequestId | undefined, timeoutMs };
+  }
+
+  override buildAttemptHeaders(): string[] {
+    return [];
+  }
+
+  override classifyResponse({ status, headers }: ResponseHead): ResponseClassification {
+    if (headers.outcome === 'not-run') return { kind: 'not-run', reason: 'shed' };
+    return { kind: 'answer', isSuccess: status < 500 };
+  }
+
+  override parseLoadReport() {
+    return undefined;
+  }
+
+  override parseProbeResponse({ status }: ResponseHead): ProbeResult {
+    const report = { running: 0, waiting: 0, slots, slowdown: 1 };
+    return { isHealthy: status === 200, id: undefined, report };
+  }
+}
+
+/** A gateway on a real port, in front of endpoints that run in the test process. */
+export class GatewayBed {
+  readonly gateway: Gateway;
+
+  readonly #endpoints: Server[] = [];
+
+  #port = 0;
+
+  #version = 0;
+
+  constructor() {
+    this.gateway = new Gateway(
+      {
+        headerCodec: new BedCodec(),
+        instance: 'one' as InstanceId,
+        failureDomain: 'z1' as FailureDomain,
+        limits: {
+          retryShare: 0,
+          retryAllowance: 1000,
+          retryWindowMs: 10_000,
+          probesPerSecond: 10_000,
+        },
+        clock: systemClock,
+        random: makeRandom(7),
+        log: createLogger('test', {}),
+        metrics: new Metrics(),
+        onBan: () => undefined,
+      },
+      1,
+    );
+  }
+
+  /** Port for callers. */
+  get port(): number {
+    return this.#port;
+  }
+
+  /** Ports of the endpoints. */
+  get endpointPorts(): number[] {
+    return this.#endpoints.map((server) => (server.address() as AddressInfo).port);
+  }
+
+  /**
+   * Starts the gateway and its endpoints.
+   *
+   * @param handlers - What each endpoint does with a request that is no health probe.
+   */
+  async start(...handlers: RequestListener[]): Promise<void> {
+    for (const handle of handlers) this.#endpoints.push(await startEndpoint(handle));
+    this.setRoute({});
+    this.gateway.setRegistrations(
+      this.endpointPorts.map((port, index) => ({
+        id: `i-${index + 1}` as EndpointId,
+        service,
+        address: `127.0.0.1:${port}`,
+        failureDomain: 'z1' as FailureDomain,
+        slots,
+        state: 'ready',
+        startedAtMs: 1,
+        warmupMs: 0,
+      })),
+    );
+    this.#port = await this.gateway.callers.listen('127.0.0.1', 0);
+  }
+
+  /** Puts a route for all paths into force. */
+  setRoute(change: Partial<Route>): void {
+    this.#version += 1;
+    const route: Route = {
+      name: 'r' as RouteName,
+      host: 'h',
+      pathPrefix: '/',
+      targets: [{ service, weight: 1 }],
+      repeat: 'once',
+      timeoutMs: 30_000,
+      targetLatencyMs: 20_000,
+      maxAttempts: 2,
+      priority: 0,
+      ...change,
+    };
+    this.gateway.setConfig(
+      {
+        version: this.#version,
+        routes: [route],
+        services: new Map([
+          [service, { name: service, healthPath: '/healthz', maxConnections: 1000 }],
+        ]),
+        bounds: {
+          maxHeaderBytes: 16 * 1024,
+          maxBodyBytes: 1024 * 1024,
+          headersTimeoutMs: 10_000,
+          idleMs: 60_000,
+        },
+      },
+      'test',
+    );
+  }
+
+  async close(): Promise<void> {
+    await this.gateway.callers.close(100);
+    this.gateway.close();
+    this.#endpoints.forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
+  }
+}
+
+async function startEndpoint(handle: RequestListener): Promise<Server> {
+  const server = createServer((request: IncomingMessage, response) => {
+    if (request.url === '/healthz') response.end('ok');
+    else handle(request, response);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return server;
+}
--- /dev/null
+++ b/packages/proxy/src/backlog.ts
@@ -0,0 +1,146 @@
+import type { Cancellation } from './cancellation.js';
+
+/** Maximum bytes of one read of a connection. */
+const socketReadBytes = 64 * 1024;
+
+/**
+ * Bytes that are reserved for each call whose response waits, before anything of the response is
+ * known: the read that exceeds the limit, one that the paused response still takes, and one that
+ * its paused connection still takes.
+ */
+export const readAheadBytes = 3 * socketReadBytes;
+
+/**
+ * Counts the bytes of responses that wait behind earlier ones, against a limit and against the
+ * limit of a larger group, such as that of the whole process.
+ */
+export class ResponseBacklog {
+  readonly #maxBytes: number;
+
+  readonly #group: ResponseBacklog | undefined;
+
+  #bytes = 0;
+
+  /**
+   * @param maxBytes - Maximum number of bytes.
+   * @param group - Backlog in which the bytes are counted, too.
+   */
+  constructor(maxBytes: number, group?: ResponseBacklog) {
+    this.#maxBytes = maxBytes;
+    this.#group = group;
+  }
+
+  /** Number of reserved bytes. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /**
+   * @param bytes - Number of bytes.
+   * @returns Whether they fit into the limits; otherwise nothing is reserved.
+   */
+  reserve(bytes: number): boolean {
+    if (this.#bytes + bytes > this.#maxBytes) return false;
+    if (this.#group && !this.#group.reserve(bytes)) return false;
+    this.#bytes += bytes;
+    return true;
+  }
+
+  /** @param bytes - Number of reserved bytes that are no longer held. */
+  release(bytes: number): void {
+    this.#bytes -= bytes;
+    this.#group?.release(bytes);
+  }
+}
+
+/**
+ * The place of a response among those of its connection. Its bytes count towards the backlog until
+ * its turn comes, which is when all earlier responses have been sent.
+ */
+export class ResponseTurn {
+  readonly #backlog: ResponseBacklog;
+
+  readonly #onRelease: () => void;
+
+  #reservedBytes = 0;
+
+  #hasCome = false;
+
+  #isClosed = false;
+
+  #listeners = new Set<() => void>();
+
+  /**
+   * @param backlog - Backlog of the connection.
+   * @param onRelease - Called when reserved bytes were released.
+   */
+  constructor(backlog: ResponseBacklog, onRelease: () => void) {
+    this.#backlog = backlog;
+    this.#onRelease = onRelease;
+  }
+
+  /** Whether all earlier responses have been sent. */
+  get hasCome(): boolean {
+    return this.#hasCome;
+  }
+
+  /**
+   * Reserves memory for a part of the response.
+   *
+   * @param bytes - Number of bytes in addition to those that are already reserved.
+   * @returns Whether the bytes may be read now. Otherwise they are to be left with the endpoint
+   * until the turn comes.
+   */
+  reserve(bytes: number): boolean {
+    if (this.#hasCome || this.#isClosed) return true;
+    if (!this.#backlog.reserve(bytes)) return false;
+    this.#reservedBytes += bytes;
+    return true;
+  }
+
+  /** @param bytes - Size of the complete response; what is reserved beyond it is released. */
+  reduceTo(bytes: number): void {
+    const surplusBytes = this.#reservedBytes - bytes;
+    if (surplusBytes <= 0) return;
+    this.#reservedBytes = bytes;
+    this.#backlog.release(surplusBytes);
+    this.#onRelease();
+  }
+
+  /**
+   * Waits until the turn comes.
+   *
+   * @param timeoutMs - Time limit in milliseconds.
+   * @param cancellation - Ends the wait when the caller disconnects.
+   * @returns Whether the turn has come.
+   */
+  async wait(timeoutMs: number, cancellation: Cancellation): Promise<boolean> {
+    if (this.#hasCome) return true;
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
+      const finish = () => {
+        clearTimeout(timer);
+        this.#listeners.delete(finish);
+        cancellation.removeListener(finish);
+        resolve(this.#hasCome);
+      };
+      timer = setTimeout(finish, Math.max(0, timeoutMs));
+      this.#listeners.add(finish);
+      cancellation.addListener(finish);
+    });
+  }
+
+  /** Records that all earlier responses have been sent. */
+  start(): void {
+    if (this.#hasCome) return;
+    this.#hasCome = true;
+    this.reduceTo(0);
+    this.#listeners.forEach((listener) => listener());
+  }
+
+  /** Releases what is reserved, because the connection has closed. */
+  close(): void {
+    this.#isClosed = true;
+    this.reduceTo(0);
+  }
+}
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { RequestId } from '@dotterelpass/values';
+import { readAheadBytes, ResponseBacklog, ResponseTurn } from './backlog.js';
 import { Cancellation } from './cancellation.js';
 import { readTarget } from './target.js';
 import type { RequestTarget } from './target.js';
@@ -18,6 +19,10 @@
   readonly target: RequestTarget;
   /** Number of earlier calls on the connection whose responses must be sent first. */
   readonly callsAhead: number;
+  /** Monotonic time at which the headers were read, in milliseconds. */
+  readonly receivedAt: number;
+  /** The place of the response behind those of the calls ahead. */
+  readonly turn: ResponseTurn;
   /** Cancelled when the caller disconnects before it has received the whole response. */
   readonly cancellation: Cancellation;
   /** Sends `100 Continue` to a caller that waits for it (`Expect: 100-continue`). */
@@ -47,6 +52,13 @@
    * that its caller sends them again.
    */
   readonly maxPipelinedCalls: number;
+  /**
+   * Maximum bytes of the responses of a connection that wait behind an earlier one. Calls beyond it
+   * are handled, and responses read further, when the earlier ones have been sent.
+   */
+  readonly maxWaitingBytesPerConnection: number;
+  /** Maximum bytes of waiting responses on all connections together. */
+  readonly maxWaitingBytes: number;
 }
 
 /** Requests beyond `maxPipelinedCalls` after which a connection is closed at once. */
@@ -59,17 +71,41 @@
   closeDelayMs: 200,
   maxHeaderBytes: 16 * 1024,
   maxPipelinedCalls: 256,
+  maxWaitingBytesPerConnection: 8 * 1024 * 1024,
+  maxWaitingBytes: 128 * 1024 * 1024,
 };
 
+/** A call whose response is not complete. */
+interface PendingCall {
+  readonly cancellation: Cancellation;
+  readonly turn: ResponseTurn;
+}
+
+/** A call that is handled later, because too many bytes of responses wait already. */
+interface HeldCall {
+  readonly turn: ResponseTurn;
+  start(): void;
+}
+
 /** A connection of a caller. */
 class CallerConnection {
   /** Calls whose response is not complete, oldest first. */
-  readonly calls = new Map<ServerResponse, Cancellation>();
+  readonly calls = new Map<ServerResponse, PendingCall>();
+
+  /** Those of `calls` that are not handled yet, oldest first. */
+  readonly heldCalls: HeldCall[] = [];
+
+  readonly backlog: ResponseBacklog;
 
   #finalResponse: string | undefined;
 
   #discardedRequests = 0;
 
+  /** @param processBacklog - Backlog of all connections together. */
+  constructor(maxWaitingBytes: number, processBacklog: ResponseBacklog) {
+    this.backlog = new ResponseBacklog(maxWaitingBytes, processBacklog);
+  }
+
   /**
    * Raw response to malformed input, sent after the responses to the calls before the input. It is
    * empty when the connection only ends then, and undefined when it stays open.
@@ -97,6 +133,33 @@
     this.#discardedRequests += 1;
     this.#finalResponse ??= '';
   }
+
+  /** Starts the turn of the oldest call. */
+  startNextTurn(): void {
+    const [next] = this.calls.values();
+    next?.turn.start();
+  }
+
+  /** Handles held calls as far as the limits on waiting responses allow. */
+  startHeldCalls(): void {
+    for (;;) {
+      const [next] = this.heldCalls;
+      if (!next?.turn.reserve(readAheadBytes)) return;
+      this.heldCalls.shift();
+      next.start();
+    }
+  }
+
+  /** Cancels all calls, because the connection has closed. */
+  close(): void {
+    this.heldCalls.length = 0;
+    const pending = [...this.calls.values()];
+    this.calls.clear();
+    pending.forEach(({ cancellation, turn }) => {
+      cancellation.cancel();
+      turn.close();
+    });
+  }
 }
 
 /** The HTTP server for callers. */
@@ -109,6 +172,13 @@
 
   readonly #connections = new Map<Duplex, CallerConnection>();
 
+  readonly #backlog: ResponseBacklog;
+
+  /** Connections that may have held calls, in the order in which they began to hold them. */
+  readonly #holding = new Set<CallerConnection>();
+
+  #isReleaseScheduled = false;
+
   #activeCalls = 0;
 
   #isDraining = false;
@@ -122,6 +192,7 @@
   constructor(handle: CallHandler, limits: Partial<CallerLimits> = {}) {
     this.#handle = handle;
     this.#limits = { ...defaultLimits, ...limits };
+    this.#backlog = new ResponseBacklog(this.#limits.maxWaitingBytes);
     this.#server = createServer({
       headersTimeout: this.#limits.headersTimeoutMs,
       // The time for a body is limited by the deadline of its call, which rules may set high.
@@ -156,6 +227,11 @@
     return this.#activeCalls;
   }
 
+  /** Bytes that are reserved for responses that wait behind earlier ones. */
+  get waitingBytes(): number {
+    return this.#backlog.bytes;
+  }
+
   /**
    * Starts to listen for callers.
    *
@@ -210,14 +286,14 @@
   }
 
   #addConnection(socket: Socket): void {
-    const connection = new CallerConnection();
+    const { maxWaitingBytesPerConnection } = this.#limits;
+    const connection = new CallerConnection(maxWaitingBytesPerConnection, this.#backlog);
     this.#connections.set(socket, connection);
     socket.on('close', () => {
       this.#connections.delete(socket);
-      const { calls } = connection;
-      this.#activeCalls -= calls.size;
-      calls.forEach((disconnection) => disconnection.cancel());
-      calls.clear();
+      this.#holding.delete(connection);
+      this.#activeCalls -= connection.calls.size;
+      connection.close();
     });
   }
 
@@ -238,8 +314,10 @@
     // Node drops requests that are pipelined behind a response with `Connection: close`, so
     // only the last response may have that header.
     if (this.#isDraining) connection.calls.forEach((_signal, earlier) => allowKeepAlive(earlier));
-    const disconnection = new Cancellation();
-    connection.calls.set(response, disconnection);
+    const cancellation = new Cancellation();
+    const turn = new ResponseTurn(connection.backlog, () => this.#scheduleHeldCalls());
+    connection.calls.set(response, { cancellation, turn });
+    if (callsAhead === 0) turn.start();
     this.#activeCalls += 1;
     response.on('finish', () => this.#finishCall(socket, response, connection));
     if (this.#isDraining) response.shouldKeepAlive = false;
@@ -260,10 +338,32 @@
       id,
       target: target.value,
       callsAhead,
-      cancellation: disconnection,
+      receivedAt: performance.now(),
+      turn,
+      cancellation,
       acceptBody,
     };
-    this.#handle(call).catch(() => socket.destroy());
+    const start = () => {
+      this.#handle(call).catch(() => socket.destroy());
+    };
+    connection.heldCalls.push({ turn, start });
+    this.#startHeldCalls(connection);
+  }
+
+  #startHeldCalls(connection: CallerConnection): void {
+    connection.startHeldCalls();
+    if (connection.heldCalls.length > 0) this.#holding.add(connection);
+    else this.#holding.delete(connection);
+  }
+
+  /** Handles held calls in the next turn of the event loop, after the present one has ended. */
+  #scheduleHeldCalls(): void {
+    if (this.#isReleaseScheduled || this.#holding.size === 0) return;
+    this.#isReleaseScheduled = true;
+    setImmediate(() => {
+      this.#isReleaseScheduled = false;
+      [...this.#holding].forEach((connection) => this.#startHeldCalls(connection));
+    });
   }
 
   #discardRequest(socket: Socket, connection: CallerConnection): void {
@@ -277,6 +377,8 @@
     this.#activeCalls -= 1;
     // Uses `socket` because `response.socket` is already null.
     if (!response.req.complete) this.#drainBody(socket, response.req);
+    connection.startNextTurn();
+    if (connection.heldCalls.length > 0) this.#startHeldCalls(connection);
     if (connection.calls.size > 0) return;
     if (connection.finalResponse !== undefined) socket.end(connection.finalResponse);
     else if (this.#isClosing) this.#endAfterDelay(socket, connection);
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,4 +1,5 @@
 export { isEndedCleanly } from './agent.js';
+export * from './backlog.js';
 export * from './body.js';
 export * from './caller.js';
 export * from './cancellation.js';
