Tell a late answer from a cut one by what ended the reading

Cause: an answer that was not whole at the deadline was taken for late when the clock had passed the deadline. Node's timers can fire a fraction of a millisecond early, so the clock had often not passed it, and the caller got 502 with the reason `reset` instead of 504 `timeout`.

Change: `readResponseBody` says whether its time limit ended the reading.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -2,7 +2,7 @@
 import { hasWholeBody } from '@dotterelpass/proxy';
 import type { ResponseTurn } from '@dotterelpass/proxy';
 import { createCancelledFailure } from './call.js';
-import type { Call, CallResponse, CallResult } from './call.js';
+import type { Call, CallFailure, CallResponse, CallResult } from './call.js';
 
 /** Bodies up to this size are buffered completely before the caller gets the first byte. */
 const maxBufferedBytes = 1024 * 1024;
@@ -15,7 +15,14 @@
    * read has been given back to the stream, which is paused.
    */
   | { readonly kind: 'large' }
-  | { readonly kind: 'cut'; readonly message: string };
+  | {
+      readonly kind: 'cut';
+      readonly message: string;
+      /** Whether the time limit ended the reading. */
+      readonly isExpired: boolean;
+    };
+
+type CutBody = Extract<ResponseBodyResult, { kind: 'cut' }>;
 
 /**
  * Buffers a response body, so that the caller gets either the complete body or none of it.
@@ -32,7 +39,8 @@
   turn?: ResponseTurn,
 ): Promise<ResponseBodyResult> {
   if (response.destroyed && !response.complete) {
-    return { kind: 'cut', message: 'connection closed before the response body was read' };
+    const message = 'connection closed before the response body was read';
+    return { kind: 'cut', message, isExpired: false };
   }
   if (Number(response.headers['content-length'] ?? 0) > maxBufferedBytes) {
     response.pause();
@@ -42,12 +50,12 @@
     const chunks: Buffer[] = [];
     let size = 0;
     let timer: NodeJS.Timeout | undefined;
-    const fail = (message: string) => {
+    const fail = (message: string, isExpired = false) => {
       clearTimeout(timer);
       response.destroy();
-      resolve({ kind: 'cut', message });
+      resolve({ kind: 'cut', message, isExpired });
     };
-    timer = setTimeout(() => fail('timed out while reading the response body'), timeoutMs);
+    timer = setTimeout(() => fail('timed out while reading the response body', true), timeoutMs);
     const handleEnd = () => {
       if (!response.complete) return;
       if (!hasWholeBody(response)) {
@@ -104,6 +112,13 @@
     return { ...answer, bufferedBody: body.bytes, finish: () => undefined };
   }
   finish('failed');
-  const reason = performance.now() >= deadlineAt ? 'timeout' : 'reset';
-  return { kind: 'failed', verdict, reason, message: body.message };
+  return createCutFailure(body);
+}
+
+/** @returns The result of a call whose response ended early or went on beyond the deadline. */
+export function createCutFailure({ isExpired, message }: CutBody): CallFailure {
+  const verdict = 'may-have-run';
+  return isExpired
+    ? { kind: 'failed', verdict, reason: 'timeout', message }
+    : { kind: 'failed', verdict, reason: 'reset', message };
 }
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -5,7 +5,7 @@
 import type { Verdict } from '@dotterelpass/values';
 import { match } from 'ts-pattern';
 import type { Admission, CallAdmission } from './admission.js';
-import { readResponseBody } from './body.js';
+import { createCutFailure, readResponseBody } from './body.js';
 import { createCancelledFailure, combineVerdicts } from './call.js';
 import type { CallResponse, AttemptRecord, Call, CallResult, CallFailure } from './call.js';
 import type { HeaderCodec } from './codec.js';
@@ -242,10 +242,7 @@
       const isCancelled = cancellation.aborted;
       finish(isCancelled ? 'cancelled' : 'cut', isCancelled ? 'cancelled' : 'failed');
       if (isCancelled) return { ...createCancelledFailure(), verdict: 'may-have-run' };
-      const { message } = body;
-      const isLate = performance.now() >= call.deadlineAt;
-      const reason = isLate ? 'timeout' : 'reset';
-      return { kind: 'failed', verdict: 'may-have-run', reason, message };
+      return createCutFailure(body);
     }
     const idleTimeoutMs = parseIdleTimeoutMs(headers['keep-alive']);
     if (idleTimeoutMs !== undefined) endpoint.setIdleTimeout(idleTimeoutMs);
