Log which limit ended a call and what forbade another attempt

Cause: a line with the reason `timeout` did not say whether the timeout of the route or that of the caller had ended the call, nor what it waited for. A refusal after one attempt did not say why there was no second one.

Change: failed calls carry `timeLimit` and `timedOutIn` when their deadline ended them, and `retryBlock` when an attempt was made whose failure could have been retried, in the log and in the stored failures. One function now decides about further attempts and returns the obstacle; the conditions are the same as before, and a call that may run once is checked before the number of attempts.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -103,7 +103,7 @@
     finish('cancelled');
     if (incoming.cancellation.aborted) return { ...createCancelledFailure(), verdict };
     const message = 'the deadline passed behind earlier calls of the connection';
-    return { kind: 'failed', verdict, reason: 'timeout', message };
+    return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'earlier-calls', message };
   }
   const body = await readResponseBody(response, Math.max(1, deadlineAt - performance.now()));
   if (body.kind === 'large') return answer;
@@ -119,6 +119,6 @@
 export function createCutFailure({ isExpired, message }: CutBody): CallFailure {
   const verdict = 'may-have-run';
   return isExpired
-    ? { kind: 'failed', verdict, reason: 'timeout', message }
+    ? { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'response-body', message }
     : { kind: 'failed', verdict, reason: 'reset', message };
 }
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -38,6 +38,31 @@
   ms: number;
 }
 
+/** The limit that set the deadline of a call. */
+export type TimeLimit = 'route-timeout' | 'caller-timeout';
+
+/** What a call waited for when its deadline passed. */
+export type TimeoutPhase = 'request-body' | 'earlier-calls' | 'response-head' | 'response-body';
+
+/** What forbade a further attempt of a call that failed. */
+export type RetryBlock =
+  | 'caller-left'
+  /** The call may run once, and ran or may have run. */
+  | 'may-have-run'
+  /** The body is too large to be kept for a further attempt. */
+  | 'streamed-body'
+  /** `maxAttempts` of the route. */
+  | 'attempts-used'
+  /** Too many attempts did not reach their endpoint. */
+  | 'endpoints-unreachable'
+  /** The time until the deadline is too short for an attempt. */
+  | 'time-left'
+  | 'retry-budget'
+  /** No reachable endpoint is left that was not tried. */
+  | 'no-endpoint'
+  /** No endpoint that was not tried could answer in time. */
+  | 'overload';
+
 /** Result of a call after all of its attempts. */
 export type CallResult =
   | {
@@ -46,6 +71,8 @@
       /** Undefined when the body is too large to be buffered. */
       readonly bufferedBody: Buffer | undefined;
       readonly isSuccess: boolean;
+      /** Why a status that may be retried was not. */
+      readonly retryBlock?: RetryBlock;
       finish(ending: AttemptEnding): void;
     }
   | {
@@ -54,6 +81,10 @@
       readonly reason:
         'no-endpoint' | 'overload' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
       readonly message: string;
+      /** Present when the deadline ended the call. */
+      readonly timedOutIn?: TimeoutPhase;
+      /** Present when an attempt was made. */
+      readonly retryBlock?: RetryBlock;
     };
 
 /** Result of a call that an endpoint answered. */
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -5,7 +5,15 @@
 import { match } from 'ts-pattern';
 import { readAfterTurn } from './body.js';
 import type { CallSender } from './sender.js';
-import type { AttemptRecord, Call, CallResult } from './call.js';
+import type {
+  AttemptRecord,
+  Call,
+  CallFailure,
+  CallResult,
+  RetryBlock,
+  TimeLimit,
+  TimeoutPhase,
+} from './call.js';
 import { getCallClass } from './catalog.js';
 import type { CallerBounds, Route } from './catalog.js';
 import type { CrashTable } from './crashes.js';
@@ -64,13 +72,30 @@
 
 type CallTimes = Pick<Call, 'targetDeadlineAt' | 'deadlineAt'>;
 
+/** What ended a call, for the log. */
+interface FailureCause {
+  readonly timedOutIn?: TimeoutPhase | undefined;
+  readonly retryBlock?: RetryBlock | undefined;
+}
+
 /** Outcome of a call, for the log and the metrics. */
-interface CallOutcome {
+interface CallOutcome extends FailureCause {
   readonly status: number;
   readonly verdict: 'not-run' | 'may-have-run' | 'ran';
   readonly reason: string;
 }
 
+/** Properties of a call that only its log line shows. */
+interface LoggedTiming {
+  readonly configVersion: number;
+  /** The timeout that the caller states, in milliseconds. */
+  readonly patienceMs: number | undefined;
+  /** Estimated time since the first attempt of the caller, in milliseconds. */
+  readonly waitedMs: number;
+  /** Present when the deadline ended the call. */
+  readonly timeLimit?: TimeLimit;
+}
+
 /** Handles the calls of callers: finds their route, sends them and writes the response. */
 export class CallHandler {
   readonly #options: CallHandlerOptions;
@@ -112,10 +137,10 @@
       this.#refuseEarly(incoming, refusal, stoppingRetryAfterMs);
       return;
     }
-    const limitMs = Math.min(
-      route.timeoutMs,
-      callerTimeoutMs === undefined ? Infinity : callerTimeoutMs - deadlineMarginMs,
-    );
+    const callerLimitMs =
+      callerTimeoutMs === undefined ? Infinity : callerTimeoutMs - deadlineMarginMs;
+    const limitMs = Math.min(route.timeoutMs, callerLimitMs);
+    const timeLimit = callerLimitMs < route.timeoutMs ? 'caller-timeout' : 'route-timeout';
     const deadlineAt = startedAt + Math.max(minCallMs, limitMs);
     const waitedMs = callerTimeouts.estimateWaitedMs(route.name, callerTimeoutMs);
     const targetDeadlineAt = startedAt + route.targetLatencyMs - waitedMs;
@@ -128,7 +153,12 @@
       records,
     );
     const ms = performance.now() - startedAt;
-    const timing = { configVersion: version, patienceMs: callerTimeoutMs, waitedMs };
+    const timing: LoggedTiming = {
+      configVersion: version,
+      patienceMs: callerTimeoutMs,
+      waitedMs,
+      ...(outcome.timedOutIn === undefined ? {} : { timeLimit }),
+    };
     this.#recordOutcome(incoming, id, route, timing, outcome, ms, records);
   }
 
@@ -151,7 +181,8 @@
     if (remainingMs <= 0) {
       const message = 'the deadline passed behind earlier calls of the connection';
       const refusal = { status: 503, verdict: 'not-run', message } as const;
-      return this.#respondWithRefusal(incoming, refusal, 'timeout');
+      const outcome = this.#respondWithRefusal(incoming, refusal, 'timeout');
+      return { ...outcome, timedOutIn: 'earlier-calls' };
     }
     const body = await readBody(
       request,
@@ -159,7 +190,10 @@
       remainingMs,
       incoming.acceptBody,
     );
-    if (body.isErr()) return this.#respondWithRefusal(incoming, body.error, 'body');
+    if (body.isErr()) {
+      const outcome = this.#respondWithRefusal(incoming, body.error, 'body');
+      return body.error.status === 408 ? { ...outcome, timedOutIn: 'request-body' } : outcome;
+    }
     const method = request.method ?? '';
     const fingerprint = hashRequest(method, target.host, target.pathAndQuery, body.value);
     if (crashes.isBanned(fingerprint)) {
@@ -191,12 +225,17 @@
   }
 
   async #respondWithResult(call: Call, result: CallResult): Promise<CallOutcome> {
-    const { incoming } = call;
-    if (result.kind === 'answer') {
-      const isLeftUnread = result.bufferedBody === undefined && !incoming.turn.hasCome;
-      if (isLeftUnread) return this.#respondWithResult(call, await readAfterTurn(call, result));
-      return this.#respondWithUpstream(call, result);
+    const { retryBlock } = result;
+    if (result.kind === 'failed') {
+      const { timedOutIn } = result;
+      return { ...this.#respondWithFailure(call, result), timedOutIn, retryBlock };
     }
+    const isLeftUnread = result.bufferedBody === undefined && !call.incoming.turn.hasCome;
+    if (isLeftUnread) return this.#respondWithResult(call, await readAfterTurn(call, result));
+    return { ...(await this.#respondWithUpstream(call, result)), retryBlock };
+  }
+
+  #respondWithFailure({ incoming }: Call, result: CallFailure): CallOutcome {
     if (incoming.response.destroyed || result.reason === 'cancelled') {
       incoming.response.destroy();
       return { status: 0, verdict: result.verdict, reason: 'caller-left' };
@@ -250,14 +289,16 @@
       return { status, verdict: 'ran', reason };
     }
     response.writeHead(status, headers);
-    const { result } = await forwardResponseBody(upstreamResponse, response, {
+    const { result, isExpired } = await forwardResponseBody(upstreamResponse, response, {
       maxKeptBytes: 0,
       readAfterDisconnect: false,
       maxUnboundedBytes: maxStreamedBytes,
       timeoutMs: Math.max(minCallMs, call.deadlineAt - performance.now()),
     });
     finish(result === 'cut' ? 'failed' : 'answered');
-    return { status, verdict: 'ran', reason: result === 'whole' ? reason : `answer-${result}` };
+    if (result === 'whole') return { status, verdict: 'ran', reason };
+    const timedOutIn = isExpired ? 'response-body' : undefined;
+    return { status, verdict: 'ran', reason: `answer-${result}`, timedOutIn };
   }
 
   #respondWithRefusal(
@@ -289,8 +330,8 @@
     { target, callsAhead }: IncomingCall,
     id: Call['id'],
     route: Route,
-    timing: Readonly<Record<string, unknown>>,
-    { status, verdict, reason }: CallOutcome,
+    timing: LoggedTiming,
+    { status, verdict, reason, timedOutIn, retryBlock }: CallOutcome,
     ms: number,
     records: readonly AttemptRecord[],
   ): void {
@@ -311,6 +352,8 @@
       status,
       verdict,
       reason,
+      ...(timedOutIn === undefined ? {} : { timedOutIn }),
+      ...(retryBlock === undefined ? {} : { retryBlock }),
       ms: Math.round(ms),
       ...(callsAhead > 0 ? { callsAhead } : {}),
       attempts: records,
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -3,11 +3,10 @@
 import type { RetryBudget } from '@dotterelpass/retries';
 import type { Metrics } from '@dotterelpass/telemetry';
 import type { Verdict } from '@dotterelpass/values';
-import { match } from 'ts-pattern';
 import type { Admission, CallAdmission } from './admission.js';
 import { createCutFailure, readResponseBody } from './body.js';
 import { createCancelledFailure, combineVerdicts } from './call.js';
-import type { CallResponse, AttemptRecord, Call, CallResult, CallFailure } from './call.js';
+import type { AttemptRecord, Call, CallResult, CallFailure, RetryBlock } from './call.js';
 import type { HeaderCodec } from './codec.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
 import { calculateHedgeDelayMs, isSlowerThan, selectResult } from './hedge.js';
@@ -81,24 +80,30 @@
       reason: 'no-endpoint',
       message: '',
     };
-    while (mayAttempt(call, records)) {
+    for (;;) {
+      const block = this.#findRetryBlock(call, records, worstVerdict);
+      if (block) return addRetryBlock({ ...lastFailure, verdict: worstVerdict }, block, records);
       const isRetry = countSent(records) > 0;
-      if (isRetry && !this.#mayRetry(call, worstVerdict))
-        return { ...lastFailure, verdict: worstVerdict };
       const pick = await this.#options.admission.admitCall(call, records);
-      if (call.incoming.cancellation.aborted)
-        return { ...createCancelledFailure(), verdict: worstVerdict };
+      if (call.incoming.cancellation.aborted) {
+        const failure = { ...createCancelledFailure(), verdict: worstVerdict };
+        return addRetryBlock(failure, 'caller-left', records);
+      }
       if (pick === undefined || pick === 'overload') {
-        return isRetry
+        const failure = isRetry
           ? { ...lastFailure, verdict: worstVerdict }
           : createUnsentFailure(call, pick);
+        return addRetryBlock(failure, pick ?? 'no-endpoint', records);
       }
       if (isRetry) this.#recordExtraAttempt(call, 'retry');
       const result = await this.#sendHedged(call, pick, records);
       if (result.kind === 'answer') {
-        if (!this.#shouldRetryResponse(call, result, records)) return result;
+        const { statusCode = 0 } = result.response;
+        // A 5xx response to an idempotent call is retried; the last one is passed to the caller.
+        if (statusCode < 500) return result;
+        const retryBlock = this.#findRetryBlock(call, records, 'ran');
+        if (retryBlock) return { ...result, retryBlock };
         result.finish('failed');
-        const { statusCode } = result.response;
         lastFailure = {
           kind: 'failed',
           verdict: 'ran',
@@ -108,7 +113,6 @@
       } else lastFailure = result;
       worstVerdict = combineVerdicts(worstVerdict, lastFailure.verdict);
     }
-    return { ...lastFailure, verdict: worstVerdict };
   }
 
   async #pick(call: Call, records: readonly AttemptRecord[]): Promise<Pick | undefined> {
@@ -119,24 +123,34 @@
     });
   }
 
-  /** A 5xx response to an idempotent call is retried; the last one is passed to the caller. */
-  #shouldRetryResponse(
+  /**
+   * Finds what forbids a further attempt.
+   *
+   * @param verdict - Verdict on the earlier attempts.
+   * @param usableShare - Share of the retry budget that the attempt may use.
+   * @returns The first obstacle; undefined when the attempt may be made.
+   */
+  #findRetryBlock(
     call: Call,
-    result: CallResponse,
     records: readonly AttemptRecord[],
-  ): boolean {
-    const status = result.response.statusCode ?? 0;
-    return status >= 500 && mayAttempt(call, records) && this.#mayRetry(call, 'ran');
-  }
-
-  #mayRetry(call: Call, verdict: Verdict, usableShare = 1): boolean {
+    verdict: Verdict,
+    usableShare = 1,
+  ): RetryBlock | undefined {
+    const { route, incoming, body, deadlineAt, service, isDeferrable } = call;
+    if (incoming.cancellation.aborted) return 'caller-left';
+    const sentCount = countSent(records);
+    if (sentCount === 0) {
+      return records.length > maxUnreachedAttempts ? 'endpoints-unreachable' : undefined;
+    }
+    if (verdict !== 'not-run' && route.repeat !== 'idempotent') return 'may-have-run';
+    if (body.kind === 'stream') return 'streamed-body';
+    if (sentCount >= route.maxAttempts) return 'attempts-used';
+    if (records.length - sentCount > maxUnreachedAttempts) return 'endpoints-unreachable';
     const { budget, latency } = this.#options;
-    if (verdict !== 'not-run' && call.route.repeat !== 'idempotent') return false;
-    if (call.body.kind === 'stream') return false;
-    const remainingMs = call.deadlineAt - performance.now();
-    if (remainingMs < minRemainingShare * latency.estimateMs(call.route)) return false;
-    const budgetShare = call.isDeferrable ? deferrableBudgetShare : 1;
-    return budget.allowsExtraAttempt([call.service], usableShare * budgetShare);
+    const remainingMs = deadlineAt - performance.now();
+    if (remainingMs < minRemainingShare * latency.estimateMs(route)) return 'time-left';
+    const budgetShare = usableShare * (isDeferrable ? deferrableBudgetShare : 1);
+    return budget.allowsExtraAttempt([service], budgetShare) ? undefined : 'retry-budget';
   }
 
   #recordExtraAttempt(call: Call, event: 'retry' | 'hedge'): void {
@@ -156,8 +170,7 @@
       route.targetLatencyMs,
     );
     if (!(await isSlowerThan(first, delayMs))) return first;
-    if (!mayAttempt(call, records)) return first;
-    if (!this.#mayRetry(call, 'may-have-run', hedgeBudgetShare)) return first;
+    if (this.#findRetryBlock(call, records, 'may-have-run', hedgeBudgetShare)) return first;
     const secondPick = await this.#pick(call, records);
     if (!secondPick || !hasSpareCapacity(secondPick.endpoint) || incoming.cancellation.aborted)
       return first;
@@ -291,10 +304,10 @@
     }
     finish(kind, kind === 'bad-body' ? 'cancelled' : 'failed');
     if (kind === 'reset') this.#options.onConnectionReset(call, endpoint);
-    const reason = match(kind)
-      .with('timeout', () => 'timeout' as const)
-      .with('bad-answer', () => 'invalid' as const)
-      .otherwise(() => 'reset' as const);
+    if (kind === 'timeout') {
+      return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'response-head', message };
+    }
+    const reason = kind === 'bad-answer' ? 'invalid' : 'reset';
     return { kind: 'failed', verdict, reason, message };
   }
 }
@@ -304,10 +317,13 @@
   return records.filter(({ outcome }) => outcome !== 'unreachable').length;
 }
 
-function mayAttempt({ route, incoming }: Call, records: readonly AttemptRecord[]): boolean {
-  if (incoming.cancellation.aborted) return false;
-  const sentCount = countSent(records);
-  return sentCount < route.maxAttempts && records.length - sentCount <= maxUnreachedAttempts;
+/** Adds what forbade a further attempt, unless no attempt was made. */
+function addRetryBlock(
+  failure: CallFailure,
+  retryBlock: RetryBlock,
+  records: readonly AttemptRecord[],
+): CallFailure {
+  return records.length > 0 ? { ...failure, retryBlock } : failure;
 }
 
 function createUnsentFailure({ service }: Call, pick: Exclude<Admission, Pick>): CallFailure {
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -1,7 +1,8 @@
 import { createServer } from 'node:http';
 import type { IncomingHttpHeaders, IncomingMessage, RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { createLogger, Metrics } from '@dotterelpass/telemetry';
+import { Metrics } from '@dotterelpass/telemetry';
+import type { LogFields } from '@dotterelpass/telemetry';
 import { makeRandom, systemClock } from '@dotterelpass/values';
 import type {
   EndpointId,
@@ -54,6 +55,9 @@
 export class GatewayBed {
   readonly gateway: Gateway;
 
+  /** Log lines of the level `info`. */
+  readonly lines: { readonly event: string; readonly fields: LogFields }[] = [];
+
   readonly #endpoints: Server[] = [];
 
   #port = 0;
@@ -74,7 +78,12 @@
         },
         clock: systemClock,
         random: makeRandom(7),
-        log: createLogger('test', {}),
+        log: {
+          debug: () => undefined,
+          info: (event, fields = {}) => this.lines.push({ event, fields }),
+          warn: () => undefined,
+          error: () => undefined,
+        },
         metrics: new Metrics(),
         onBan: () => undefined,
       },
--- a/packages/proxy/src/forward.ts
+++ b/packages/proxy/src/forward.ts
@@ -27,6 +27,8 @@
    * `gone`: the caller disconnected or read too slowly.
    */
   readonly result: 'whole' | 'cut' | 'gone';
+  /** Whether the time limit ended it. */
+  readonly isExpired: boolean;
   /** The body, if it was to be kept, arrived completely and does not exceed `maxKeptBytes`. */
   readonly keptBody?: Buffer;
 }
@@ -88,6 +90,8 @@
 
   #isDisconnected = false;
 
+  #isExpired = false;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -159,6 +163,7 @@
   };
 
   #expire(): void {
+    this.#isExpired = true;
     // While reading is paused for a slow caller, the timeout is not the endpoint's fault.
     if (this.#endpointResponse.isPaused()) {
       abortResponse(this.#callerResponse);
@@ -191,6 +196,7 @@
       .off('close', this.#handleTruncation);
     this.#callerResponse.off('drain', this.#handleDrain).off('close', this.#handleDisconnect);
     const isKept = this.#isKeeping && result !== 'cut';
-    this.#resolve(isKept ? { result, keptBody: Buffer.concat(this.#chunks) } : { result });
+    const outcome = { result, isExpired: this.#isExpired };
+    this.#resolve(isKept ? { ...outcome, keptBody: Buffer.concat(this.#chunks) } : outcome);
   }
 }
