Test late second copies of answers on real sockets

Cause: only a copy that arrives on an idle connection was tested. A copy that arrives when the connection has its next request is read as the answer to that.

A copy costs the call behind it: it is refused with 502.

--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -1,6 +1,7 @@
-import { createServer } from 'node:http';
-import type { IncomingHttpHeaders, IncomingMessage, RequestListener, Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { createServer, Server as HttpServer } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, RequestListener } from 'node:http';
+import { createServer as createTcpServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
 import { Metrics } from '@dotterelpass/telemetry';
 import type { LogFields } from '@dotterelpass/telemetry';
 import { makeRandom, systemClock } from '@dotterelpass/values';
@@ -36,7 +37,16 @@
     return [];
   }
 
-  override classifyResponse({ status, headers }: ResponseHead): ResponseClassification {
+  override classifyResponse(
+    { status, headers }: ResponseHead,
+    id: RequestId | undefined,
+  ): ResponseClassification {
+    if (id !== undefined && headers.id !== undefined && headers.id !== id) {
+      return {
+        kind: 'invalid',
+        message: `the response belongs to request ${headers.id as string}`,
+      };
+    }
     if (headers.outcome === 'not-run') return { kind: 'not-run', reason: 'shed' };
     return { kind: 'answer', isSuccess: status < 500 };
   }
@@ -107,7 +117,21 @@
    * @param handlers - What each endpoint does with a request that is no health probe.
    */
   async start(...handlers: RequestListener[]): Promise<void> {
-    for (const handle of handlers) this.#endpoints.push(await startEndpoint(handle));
+    for (const handle of handlers) this.#endpoints.push(await listen(makeEndpoint(handle)));
+    await this.#startGateway();
+  }
+
+  /**
+   * Starts the gateway in front of one endpoint that speaks on sockets.
+   *
+   * @param handle - Handles each connection, also for health probes.
+   */
+  async startRaw(handle: (socket: Socket) => void): Promise<void> {
+    this.#endpoints.push(await listen(createTcpServer(handle)));
+    await this.#startGateway();
+  }
+
+  async #startGateway(): Promise<void> {
     this.setRoute({});
     this.gateway.setRegistrations(
       this.endpointPorts.map((port, index) => ({
@@ -161,17 +185,20 @@
     await this.gateway.callers.close(100);
     this.gateway.close();
     this.#endpoints.forEach((server) => {
-      server.closeAllConnections();
+      if (server instanceof HttpServer) server.closeAllConnections();
       server.close();
     });
   }
 }
 
-async function startEndpoint(handle: RequestListener): Promise<Server> {
-  const server = createServer((request: IncomingMessage, response) => {
+function makeEndpoint(handle: RequestListener): HttpServer {
+  return createServer((request: IncomingMessage, response) => {
     if (request.url === '/healthz') response.end('ok');
     else handle(request, response);
   });
+}
+
+async function listen<S extends Server>(server: S): Promise<S> {
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
