Close the connection of a large answer that is not used

Cause: an answer above 1 MiB is streamed, not buffered. When it was set aside, because a 5xx was retried or the other attempt of a hedged call succeeded, its attempt ended but nobody read or closed its connection. It stayed open, with its slot at the endpoint, until the endpoint gave it up.

Change: `discardAnswer` ends the attempt and closes an unread answer, wherever an answer is set aside.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { hasWholeBody } from '@dotterelpass/proxy';
 import type { ResponseTurn } from '@dotterelpass/proxy';
-import { createCancelledFailure } from './call.js';
+import { createCancelledFailure, discardAnswer } from './call.js';
 import type { Call, CallFailure, CallResponse, CallResult } from './call.js';
 
 /** Bodies up to this size are buffered completely before the caller gets the first byte. */
@@ -99,8 +99,7 @@
   const verdict = 'may-have-run';
   const hasCome = await incoming.turn.wait(deadlineAt - performance.now(), incoming.cancellation);
   if (!hasCome) {
-    response.destroy();
-    finish('cancelled');
+    discardAnswer(answer, 'cancelled');
     if (incoming.cancellation.aborted) return { ...createCancelledFailure(), verdict };
     const message = 'the deadline passed behind earlier calls of the connection';
     return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'earlier-calls', message };
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -103,6 +103,21 @@
   };
 }
 
+/**
+ * Ends the use of a response that does not reach the caller. An unread body would keep its
+ * connection, and its slot at the endpoint, until the endpoint gives it up.
+ *
+ * @param answer - The response.
+ * @param ending - Outcome of its attempt.
+ */
+export function discardAnswer(
+  { response, bufferedBody, finish }: CallResponse,
+  ending: AttemptEnding,
+): void {
+  if (bufferedBody === undefined) response.destroy();
+  finish(ending);
+}
+
 /** Combines the verdicts of two attempts: a call is `not-run` only when all its attempts are. */
 export function combineVerdicts(a: Verdict, b: Verdict): Verdict {
   if (a === 'not-run') return b;
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -4,11 +4,13 @@
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
 import { match } from 'ts-pattern';
 import { readAfterTurn } from './body.js';
+import { discardAnswer } from './call.js';
 import type { CallSender } from './sender.js';
 import type {
   AttemptRecord,
   Call,
   CallFailure,
+  CallResponse,
   CallResult,
   RetryBlock,
   TimeLimit,
@@ -254,25 +256,21 @@
     return this.#respondWithRefusal(incoming, { status, verdict, message }, reason);
   }
 
-  async #respondWithUpstream(
-    call: Call,
-    { response: upstreamResponse, bufferedBody, finish }: Extract<CallResult, { kind: 'answer' }>,
-  ): Promise<CallOutcome> {
+  async #respondWithUpstream(call: Call, answer: CallResponse): Promise<CallOutcome> {
+    const { response: upstreamResponse, bufferedBody, finish } = answer;
     const { response } = call.incoming;
     const status = upstreamResponse.statusCode ?? 0;
     const claimsNotRun = status === 503 || status === 429 || status === 408 || status === 421;
     if (claimsNotRun) {
       // Callers treat these statuses as a guarantee that the call has not run, which an endpoint
       // does not give with them.
-      finish('failed');
-      if (bufferedBody === undefined) upstreamResponse.destroy();
+      discardAnswer(answer, 'failed');
       const message = `the endpoint answered ${status} and may have run the call`;
       const refusal = { status: 502, verdict: 'may-have-run', message } as const;
       return this.#respondWithRefusal(call.incoming, refusal, 'endpoint-failed');
     }
     if (response.destroyed) {
-      finish('cancelled');
-      if (bufferedBody === undefined) upstreamResponse.destroy();
+      discardAnswer(answer, 'cancelled');
       return { status: 0, verdict: 'ran', reason: 'caller-left' };
     }
     const headers = copyEndToEndHeaders(
--- a/packages/gateway/src/hedge.ts
+++ b/packages/gateway/src/hedge.ts
@@ -1,5 +1,5 @@
 import type { Cancellation } from '@dotterelpass/proxy';
-import { combineVerdicts } from './call.js';
+import { combineVerdicts, discardAnswer } from './call.js';
 import type { CallResult } from './call.js';
 
 /** Bounds of the delay before the hedged attempt, relative to the estimated latency. */
@@ -30,13 +30,13 @@
   if (firstToEnd.result.kind === 'answer' && firstToEnd.result.isSuccess) {
     remaining.cancellation.cancel();
     void remaining.result.then((result) => {
-      if (result.kind === 'answer') result.finish('cancelled');
+      if (result.kind === 'answer') discardAnswer(result, 'cancelled');
     });
     return firstToEnd.result;
   }
   const remainingResult = await remaining.result;
   if (remainingResult.kind === 'answer') {
-    if (firstToEnd.result.kind === 'answer') firstToEnd.result.finish('failed');
+    if (firstToEnd.result.kind === 'answer') discardAnswer(firstToEnd.result, 'failed');
     return remainingResult;
   }
   if (firstToEnd.result.kind === 'answer') return firstToEnd.result;
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -5,7 +5,7 @@
 import type { Verdict } from '@dotterelpass/values';
 import type { Admission, CallAdmission } from './admission.js';
 import { createCutFailure, readResponseBody } from './body.js';
-import { createCancelledFailure, combineVerdicts } from './call.js';
+import { createCancelledFailure, combineVerdicts, discardAnswer } from './call.js';
 import type { AttemptRecord, Call, CallResult, CallFailure, RetryBlock } from './call.js';
 import type { HeaderCodec } from './codec.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
@@ -103,7 +103,7 @@
         if (statusCode < 500) return result;
         const retryBlock = this.#findRetryBlock(call, records, 'ran');
         if (retryBlock) return { ...result, retryBlock };
-        result.finish('failed');
+        discardAnswer(result, 'failed');
         lastFailure = {
           kind: 'failed',
           verdict: 'ran',
