--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -4,8 +4,19 @@
 import type { RequestBody, IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
 import { match } from 'ts-pattern';
+import { readAfterTurn } from './body.js';
+import { discardAnswer } from './call.js';
 import type { CallSender } from './sender.js';
-import type { AttemptRecord, Call, CallResult } from './call.js';
+import type {
+  AttemptRecord,
+  Call,
+  CallFailure,
+  CallResponse,
+  CallResult,
+  RetryBlock,
+  TimeLimit,
+  TimeoutPhase,
+} from './call.js';
 import { getCallClass } from './catalog.js';
 import type { CallerBounds, Route } from './catalog.js';
 import type { CrashTable } from './crashes.js';
@@ -64,13 +75,30 @@
 
 type CallTimes = Pick<Call, 'targetDeadlineAt' | 'deadlineAt'>;
 
+/** What ended a call, for the log. */
+interface FailureCause {
+  readonly timedOutIn?: TimeoutPhase | undefined;
+  readonly retryBlock?: RetryBlock | undefined;
+}
+
 /** Outcome of a call, for the log and the metrics. */
-interface CallOutcome {
+interface CallOutcome extends FailureCause {
   readonly status: number;
   readonly verdict: 'not-run' | 'may-have-run' | 'ran';
   readonly reason: string;
 }
 
+/** Properties of a call that only its log line shows. */
+interface LoggedTiming {
+  readonly configVersion: number;
+  /** The timeout that the caller states, in milliseconds. */
+  readonly patienceMs: number | undefined;
+  /** Estimated time since the first attempt of the caller, in milliseconds. */
+  readonly waitedMs: number;
+  /** Present when the deadline ended the call. */
+  readonly timeLimit?: TimeLimit;
+}
+
 /** Handles the calls of callers: finds their route, sends them and writes the response. */
 export class CallHandler {
   readonly #options: CallHandlerOptions;
@@ -85,7 +113,8 @@
    * @param incoming - The call as received from the caller.
    */
   async handleCall(incoming: IncomingCall): Promise<void> {
-    const startedAt = performance.now();
+    // The time behind earlier calls of the connection counts towards the deadline.
+    const startedAt = incoming.receivedAt;
     const { routes, headerCodec, callerTimeouts } = this.#options;
     const { request, target } = incoming;
     const { id, timeoutMs: callerTimeoutMs } = headerCodec.parseRequestHeaders(request.headers);
@@ -105,16 +134,16 @@
       this.#refuseEarly(incoming, { status: 404, verdict: 'not-run', message });
       return;
     }
-    if (!this.#canFinish(route, startedAt)) {
+    if (!this.#canFinish(route, performance.now())) {
       const message = 'this instance stops before the call could be answered';
       const refusal = { status: 503, verdict: 'not-run', message } as const;
       this.#refuseEarly(incoming, refusal, stoppingRetryAfterMs);
       return;
     }
-    const limitMs = Math.min(
-      route.timeoutMs,
-      callerTimeoutMs === undefined ? Infinity : callerTimeoutMs - deadlineMarginMs,
-    );
+    const callerLimitMs =
+      callerTimeoutMs === undefined ? Infinity : callerTimeoutMs - deadlineMarginMs;
+    const limitMs = Math.min(route.timeoutMs, callerLimitMs);
+    const timeLimit = callerLimitMs < route.timeoutMs ? 'caller-timeout' : 'route-timeout';
     const deadlineAt = startedAt + Math.max(minCallMs, limitMs);
     const waitedMs = callerTimeouts.estimateWaitedMs(route.name, callerTimeoutMs);
     const targetDeadlineAt = startedAt + route.targetLatencyMs - waitedMs;
@@ -127,7 +156,12 @@
       records,
     );
     const ms = performance.now() - startedAt;
-    const timing = { configVersion: version, patienceMs: callerTimeoutMs, waitedMs };
+    const timing: LoggedTiming = {
+      configVersion: version,
+      patienceMs: callerTimeoutMs,
+      waitedMs,
+      ...(outcome.timedOutIn === undefined ? {} : { timeLimit }),
+    };
     this.#recordOutcome(incoming, id, route, timing, outcome, ms, records);
   }
 
@@ -165,13 +199,22 @@
     const { routes, sender, crashes } = this.#options;
     const { request, target } = incoming;
     const remainingMs = deadlineAt - performance.now();
+    if (remainingMs <= 0) {
+      const message = 'the deadline passed behind earlier calls of the connection';
+      const refusal = { status: 503, verdict: 'not-run', message } as const;
+      const outcome = this.#respondWithRefusal(incoming, refusal, 'timeout');
+      return { ...outcome, timedOutIn: 'earlier-calls' };
+    }
     const body = await readBody(
       request,
       this.#options.readCallerBounds().maxBodyBytes,
       remainingMs,
       incoming.acceptBody,
     );
-    if (body.isErr()) return this.#respondWithRefusal(incoming, body.error, 'body');
+    if (body.isErr()) {
+      const outcome = this.#respondWithRefusal(incoming, body.error, 'body');
+      return body.error.status === 408 ? { ...outcome, timedOutIn: 'request-body' } : outcome;
+    }
     const method = request.method ?? '';
     const fingerprint = hashRequest(method, target.host, target.pathAndQuery, body.value);
     if (crashes.isBanned(fingerprint)) {
@@ -203,8 +246,17 @@
   }
 
   async #respondWithResult(call: Call, result: CallResult): Promise<CallOutcome> {
-    const { incoming } = call;
-    if (result.kind === 'answer') return this.#respondWithUpstream(call, result);
+    const { retryBlock } = result;
+    if (result.kind === 'failed') {
+      const { timedOutIn } = result;
+      return { ...this.#respondWithFailure(call, result), timedOutIn, retryBlock };
+    }
+    const isLeftUnread = result.bufferedBody === undefined && !call.incoming.turn.hasCome;
+    if (isLeftUnread) return this.#respondWithResult(call, await readAfterTurn(call, result));
+    return { ...(await this.#respondWithUpstream(call, result)), retryBlock };
+  }
+
+  #respondWithFailure({ incoming }: Call, result: CallFailure): CallOutcome {
     if (incoming.response.destroyed || result.reason === 'cancelled') {
       incoming.response.destroy();
       return { status: 0, verdict: result.verdict, reason: 'caller-left' };
@@ -223,25 +275,21 @@
     return this.#respondWithRefusal(incoming, { status, verdict, message }, reason);
   }
 
-  async #respondWithUpstream(
-    call: Call,
-    { response: upstreamResponse, bufferedBody, finish }: Extract<CallResult, { kind: 'answer' }>,
-  ): Promise<CallOutcome> {
+  async #respondWithUpstream(call: Call, answer: CallResponse): Promise<CallOutcome> {
+    const { response: upstreamResponse, bufferedBody, finish } = answer;
     const { response } = call.incoming;
     const status = upstreamResponse.statusCode ?? 0;
     const claimsNotRun = status === 503 || status === 429 || status === 408 || status === 421;
     if (claimsNotRun) {
       // Callers treat these statuses as a guarantee that the call has not run, which an endpoint
       // does not give with them.
-      finish('failed');
-      if (bufferedBody === undefined) upstreamResponse.destroy();
+      discardAnswer(answer, 'failed');
       const message = `the endpoint answered ${status} and may have run the call`;
       const refusal = { status: 502, verdict: 'may-have-run', message } as const;
       return this.#respondWithRefusal(call.incoming, refusal, 'endpoint-failed');
     }
     if (response.destroyed) {
-      finish('cancelled');
-      if (bufferedBody === undefined) upstreamResponse.destroy();
+      discardAnswer(answer, 'cancelled');
       return { status: 0, verdict: 'ran', reason: 'caller-left' };
     }
     const headers = copyEndToEndHeaders(
@@ -254,21 +302,24 @@
       const isBodiless = call.method === 'HEAD' || status === 204 || status === 304;
       if (!hasLength && !isBodiless) headers.push('content-length', String(bufferedBody.length));
       response.writeHead(status, headers).end(bufferedBody);
+      call.incoming.turn.reduceTo(bufferedBody.length);
       return { status, verdict: 'ran', reason };
     }
     response.writeHead(status, headers);
-    const { result } = await forwardResponseBody(upstreamResponse, response, {
+    const { result, isExpired } = await forwardResponseBody(upstreamResponse, response, {
       maxKeptBytes: 0,
       readAfterDisconnect: false,
       maxUnboundedBytes: maxStreamedBytes,
       timeoutMs: Math.max(minCallMs, call.deadlineAt - performance.now()),
     });
     finish(result === 'cut' ? 'failed' : 'answered');
-    return { status, verdict: 'ran', reason: result === 'whole' ? reason : `answer-${result}` };
+    if (result === 'whole') return { status, verdict: 'ran', reason };
+    const timedOutIn = isExpired ? 'response-body' : undefined;
+    return { status, verdict: 'ran', reason: `answer-${result}`, timedOutIn };
   }
 
   #respondWithRefusal(
-    { response, id }: IncomingCall,
+    { response, turn, id }: IncomingCall,
     refusal: Refusal,
     reason: string,
     waitMs?: number,
@@ -276,6 +327,7 @@
     const refusalWithRetry =
       waitMs === undefined ? refusal : { ...refusal, retryAfterSeconds: waitMs / 1000 };
     if (!response.destroyed) refuse(response, id, refusalWithRetry);
+    turn.reduceTo(0);
     return { status: refusal.status, verdict: refusal.verdict, reason };
   }
 
@@ -288,8 +340,8 @@
     { target, callsAhead }: IncomingCall,
     id: Call['id'],
     route: Route,
-    timing: Readonly<Record<string, unknown>>,
-    { status, verdict, reason }: CallOutcome,
+    timing: LoggedTiming,
+    { status, verdict, reason, timedOutIn, retryBlock }: CallOutcome,
     ms: number,
     records: readonly AttemptRecord[],
   ): void {
@@ -310,6 +362,8 @@
       status,
       verdict,
       reason,
+      ...(timedOutIn === undefined ? {} : { timedOutIn }),
+      ...(retryBlock === undefined ? {} : { retryBlock }),
       ms: Math.round(ms),
       ...(callsAhead > 0 ? { callsAhead } : {}),
       attempts: records,
