Use endpoints of a restored store once they are written again

After a restore, instances could use an endpoint that had left, or miss one that drained or was added, for as long as they ran. Found by the review of the sequences that told a copy from news: followers do not get heartbeats, so they know old sequences and take the copy for news when they list it; an instance that started after the removal knows none; a registration of another writer with a high sequence hides the heartbeats of the endpoint for good; and the reader does not pass on what is written again unchanged, or the removal of an item that it had not taken over, to an instance that has listed the copy.

Sequences are not compared any more. Items of a later epoch count as changed, and noted items that vanish as removed, so that every follower gets them.

--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -68,8 +68,6 @@
   readonly state: 'ready' | 'draining';
   /** Start of the process in wall-clock milliseconds; undefined when not registered. */
   readonly startedAtMs: number | undefined;
-  /** Number of the heartbeat with which the process wrote the registration. */
-  readonly sequence: number;
   /** Remaining warm-up time, in which the endpoint is slow, in milliseconds. */
   readonly warmupMs: number;
 }
--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -27,13 +27,6 @@
   readonly changedAt: StorePosition;
 }
 
-/** A removed registration, of which a restored store may still have an earlier state. */
-interface Tombstone {
-  readonly removedAt: StorePosition;
-  /** Undefined when the last item could not be decoded. */
-  readonly registration: Registration | undefined;
-}
-
 /**
  * Registrations with the positions of their last changes. Heartbeats rewrite a registration without
  * other changes; these writes are not sent to other instances.
@@ -43,8 +36,18 @@
 
   readonly #entries = new Map<string, Entry>();
 
-  /** Tombstones of the removed keys, oldest first. */
-  readonly #removed = new Map<string, Tombstone>();
+  /** Tombstones: removed keys and the positions of their removal, oldest first. */
+  readonly #removed = new Map<string, StorePosition>();
+
+  /**
+   * Keys that a restored store has as new or as ready again, with the revisions of their items. The
+   * copy may be older than the removal or the draining of the endpoint, so such an item counts only
+   * once the endpoint has written it again.
+   */
+  readonly #unconfirmed = new Map<string, number>();
+
+  /** Epoch of the last listing, or of the first snapshot before one; -1 before both. */
+  #listedEpoch = -1;
 
   /**
    * All changes after this position are known; older positions need a full snapshot. Undefined
@@ -86,9 +89,11 @@
   applyListing(listing: StoreListing, keepMissing: boolean): boolean {
     const { items, position } = listing;
     if (comparePositions(position, this.#position) < 0) return false;
-    this.#mergeItems(items, position);
+    this.#mergeItems(this.#selectConfirmed(items, position), position);
+    this.#listedEpoch = position.epoch;
     const listed = new Set(items.map(({ key }) => key));
-    const missing = [...this.#entries.keys()].filter((key) => !listed.has(key));
+    const known = new Set([...this.#entries.keys(), ...this.#unconfirmed.keys()]);
+    const missing = [...known].filter((key) => !listed.has(key));
     if (keepMissing && missing.length > 0) return false;
     this.#removeKeys(missing, position);
     this.#advance(position, this.#oldestKnownPosition ?? position);
@@ -103,7 +108,8 @@
    */
   applyChanges({ position, isWhole, items, removed }: RegistrationChanges): void {
     if (comparePositions(position, this.#position) < 0) return;
-    this.#mergeItems(items, position);
+    this.#mergeItems(isWhole ? this.#selectConfirmed(items, position) : items, position);
+    if (this.#listedEpoch < 0) this.#listedEpoch = position.epoch;
     this.#removeKeys(removed, position);
     this.#advance(position, isWhole ? position : this.#oldestKnownPosition);
   }
@@ -114,9 +120,7 @@
     const isWhole = this.#oldestKnownPosition === undefined || isAfter(this.#oldestKnownPosition);
     const entries = [...this.#entries.values()];
     const changed = isWhole ? entries : entries.filter(({ changedAt }) => isAfter(changedAt));
-    const removed = [...this.#removed].filter(
-      ([, { removedAt }]) => !isWhole && isAfter(removedAt),
-    );
+    const removed = [...this.#removed].filter(([, at]) => !isWhole && isAfter(at));
     return {
       position: this.#position,
       isWhole,
@@ -140,41 +144,55 @@
       const existing = this.#entries.get(item.key);
       if (existing && comparePositions(existing.item, item) >= 0) return;
       const registration = this.#decode(item);
-      if (this.#isFromCopy(item, registration)) return;
+      // After a restore, instances that have only read the copy need what is written again.
       const isUnchanged =
-        existing !== undefined && isSameRegistration(existing.registration, registration);
+        existing?.item.epoch === item.epoch &&
+        isSameRegistration(existing.registration, registration);
       // Changes contain later items while their sender keeps missing registrations.
       const readAt = comparePositions(item, position) > 0 ? item : position;
       const changedAt = isUnchanged ? existing.changedAt : readAt;
       this.#entries.set(item.key, { item, registration, changedAt });
       this.#removed.delete(item.key);
+      this.#unconfirmed.delete(item.key);
     });
   }
 
-  /**
-   * Whether a restored store has an item only because its copy is older than what is known: the
-   * endpoint has since changed or left.
-   */
-  #isFromCopy({ key, epoch }: StoreItem, registration: Registration | undefined): boolean {
-    const entry = this.#entries.get(key);
-    const tombstone = this.#removed.get(key);
-    const knownEpoch = entry?.item.epoch ?? tombstone?.removedAt.epoch ?? epoch;
-    const known = entry?.registration ?? tombstone?.registration;
-    return knownEpoch < epoch && !!known && !!registration && !isLater(registration, known);
+  /** Selects the items that a restored store does not have merely because its copy is old. */
+  #selectConfirmed(items: readonly StoreItem[], { epoch }: StorePosition): readonly StoreItem[] {
+    const isRestored = this.#listedEpoch >= 0 && epoch > this.#listedEpoch;
+    if (isRestored) this.#unconfirmed.clear();
+    return items.filter((item) => this.#isConfirmed(item, isRestored));
+  }
+
+  #isConfirmed(item: StoreItem, isRestored: boolean): boolean {
+    const seenRevision = this.#unconfirmed.get(item.key);
+    if (seenRevision !== undefined) return item.revision > seenRevision;
+    if (!this.#mayBeOutdated(item, isRestored)) return true;
+    this.#unconfirmed.set(item.key, item.revision);
+    return false;
+  }
+
+  #mayBeOutdated(item: StoreItem, isRestored: boolean): boolean {
+    const entry = this.#entries.get(item.key);
+    if (!entry) return isRestored;
+    if (entry.item.epoch === item.epoch) return false;
+    const registration = this.#decode(item);
+    return registration?.state === 'ready' && !isSameRegistration(entry.registration, registration);
   }
 
   #removeKeys(keys: readonly string[], position: StorePosition): void {
     keys.forEach((key) => {
-      const entry = this.#entries.get(key);
-      if (!entry) return;
-      this.#entries.delete(key);
+      const isUsed = this.#entries.delete(key);
+      // Another instance, which knows less, may use an item that is not confirmed here.
+      const isListed = this.#unconfirmed.delete(key);
+      if (!isUsed && !isListed) return;
       this.#removed.delete(key);
-      this.#removed.set(key, { removedAt: position, registration: entry.registration });
+      this.#removed.set(key, position);
     });
     while (this.#removed.size > maxRemoved) {
       const [oldest] = this.#removed;
       if (!oldest) return;
-      const [key, { removedAt }] = oldest;
+      const [key, removedAt] = oldest;
       this.#removed.delete(key);
       const known = this.#oldestKnownPosition;
       if (known && comparePositions(removedAt, known) > 0) this.#oldestKnownPosition = removedAt;
@@ -182,12 +200,6 @@
   }
 }
 
-/** Whether a registration was written later than another one of the same endpoint. */
-function isLater(a: Registration, b: Registration): boolean {
-  const startedAfterMs = (a.startedAtMs ?? 0) - (b.startedAtMs ?? 0);
-  return (startedAfterMs || a.sequence - b.sequence) > 0;
-}
-
 /**
  * Compares registrations without their warm-up times, which are counted from the first registration
  * of an endpoint.
