Get the newest configuration from peers after a start

An instance that started after a restore of the store answered 404 for a confirmed route until operators wrote their configuration again: it read the older one from the copy, and when its name comes first it asks no peer, since the others read from it.

An instance now asks two peers once when it starts, and every peer whose request shows a newer version. Their answer does not make them the source of its reads.

--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -28,6 +28,9 @@
 const maxReaders = 2;
 const maxFallbackPeers = 3;
 
+/** Maximum peers that are asked for a newer configuration at the start. */
+const startPeers = 2;
+
 /** Time for which the same fallback peers are asked. */
 const fallbackPeersTtlMs = 3000;
 
@@ -87,6 +90,12 @@
 
   #fallbackPeersUntil = -Infinity;
 
+  /** Peers that have, or at the start may have, a newer configuration than a restored store. */
+  readonly #aheadPeers = new Set<InstanceId>();
+
+  /** Whether peers have been asked for a newer configuration since the start. */
+  #hasAskedPeers = false;
+
   /** Functions that end the pending long polls. */
   #longPolls: (() => void)[] = [];
 
@@ -192,9 +201,12 @@
   #openTransport(peerKey: string): PeerTransport {
     const { instance, incarnation, ip, port, replica, fleet, clock, log } = this.#options;
     const transport = new PeerTransport({ instance, incarnation }, peerKey, log);
-    transport.handle(requestType, async (body) => {
+    transport.handle(requestType, async (body, from) => {
       const { fleetDigest, heard, ...progress } = body as unknown as SyncRequest;
       replica.markSharing();
+      if (progress.configVersion > replica.progress.configVersion) {
+        this.#aheadPeers.add(from.instance);
+      }
       const receivedAt = clock.now();
       if (heard === this.#changeSequence) await this.#waitForChange();
       const update = replica.buildUpdate(progress);
@@ -227,6 +239,7 @@
   async #syncOnce(transport: PeerTransport): Promise<void> {
     const { replica, fleet, clock } = this.#options;
     let source: InstanceId | undefined;
+    await this.#fetchNewerConfig(transport);
     const readers = this.#selectReaders();
     for (const peer of [...readers, ...this.#selectFallbackPeers(readers)]) {
       const heard = peer === this.#source ? this.#sourceSequence : undefined;
@@ -251,6 +264,35 @@
     this.#setSource(source);
   }
 
+  /**
+   * Gets the configuration of peers that have a newer one. An instance that starts after a restore
+   * reads an older one from the store until operators write theirs again.
+   */
+  async #fetchNewerConfig(transport: PeerTransport): Promise<void> {
+    const { replica, fleet, clock, random } = this.#options;
+    const available = this.#listAvailablePeers().map(([peer]) => peer);
+    if (!this.#hasAskedPeers && available.length > 0) {
+      this.#hasAskedPeers = true;
+      const first = Math.floor(random.next() * available.length);
+      available.slice(first, first + startPeers).forEach((peer) => this.#aheadPeers.add(peer));
+    }
+    const peers = [...this.#aheadPeers];
+    this.#aheadPeers.clear();
+    for (const peer of peers) {
+      const body: SyncRequest = {
+        ...replica.progress,
+        fleetDigest: fleet.digest,
+        heard: undefined,
+      };
+      const sentAt = clock.now();
+      const result = await transport.request(peer, requestType, { ...body }, responseTimeoutMs);
+      if (this.#stopped) return;
+      if (result.isErr()) continue;
+      const response = result.value as unknown as SyncResponse;
+      this.#mergeResponse(response, peer, clock.now() - sentAt - response.heldMs);
+    }
+  }
+
   /**
    * Merges a response.
    *
