Count a watch as up to date only in the epoch of the listing

A watch that outlives a restore of the store may miss a change, but each listing confirmed the configuration as current while it was pending, also for the instances that get it from this one. The listing now confirms it only in the epoch in which the watch began.

--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -122,8 +122,8 @@
   /** When the configuration was last confirmed to be current. */
   #configCheckedAt = -Infinity;
 
-  /** Whether a watch request for the configuration is pending. */
-  #isWatchPending = false;
+  /** Epoch of the pending watch request for the configuration; undefined without one. */
+  #watchedEpoch: number | undefined;
 
   /** Until when the configuration from another instance is fresh, so that no watch is needed. */
   #configFreshUntil = -Infinity;
@@ -292,9 +292,9 @@
         } else await this.#waitToRetry(backoff);
         continue;
       }
-      this.#isWatchPending = true;
+      this.#watchedEpoch = position.epoch;
       const changes = await store.watch(schema.configKey, position, watchTimeoutMs);
-      this.#isWatchPending = false;
+      this.#watchedEpoch = undefined;
       if (!this.#recordResult('configuration', changes)) {
         // The connection may have missed a change, so the configuration is read again.
         position = undefined;
@@ -303,6 +303,7 @@
       if (changes.value.kind === 'forgotten') {
         log.warn('history-forgotten', { after: position });
         position = undefined;
+        await backoff.sleep();
         continue;
       }
       changes.value.items
@@ -334,7 +335,8 @@
       this.#registrationsReadAt = Math.max(this.#registrationsReadAt, startedAt);
       this.#recordEpoch(listing.value.position);
       // The store responds, so a pending watch would have reported a change of the configuration.
-      if (this.#isWatchPending) this.#configCheckedAt = startedAt;
+      const isWatched = this.#watchedEpoch === listing.value.position.epoch;
+      if (isWatched) this.#configCheckedAt = startedAt;
       const keepMissing = clock.now() < this.#keepMissingUntil;
       const isComplete = this.#changeLog.applyListing(listing.value, keepMissing);
       if (isComplete) this.#mayMissRemovals = false;
