Do not pass on a listing as new while missing entries are kept

The connection of one instance, which reads the store for the others, was silent for 1.9 s, so it kept missing registrations for its grace period, and told its listings as new to three instances without an outage, which kept the endpoint as well.

A listing counts as new for other instances only when it is complete.

An update now counts only if it has something new or is read later.

Two tests failed before: the age told in the grace period was that of the listing, and the same state was passed on.

--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -105,13 +105,17 @@
    * expired at the time when it was read.
    *
    * @param changes - The changes.
+   * @returns Whether they contained anything new.
    */
-  applyChanges({ position, isWhole, items, removed }: RegistrationChanges): void {
-    if (comparePositions(position, this.#position) < 0) return;
-    this.#mergeItems(isWhole ? this.#selectConfirmed(items, position) : items, position);
+  applyChanges({ position, isWhole, items, removed }: RegistrationChanges): boolean {
+    const order = comparePositions(position, this.#position);
+    if (order < 0) return false;
+    const newItems = isWhole ? this.#selectConfirmed(items, position) : items;
+    const hasMerged = this.#mergeItems(newItems, position);
     if (this.#listedEpoch < 0) this.#listedEpoch = position.epoch;
     this.#removeKeys(removed, position);
     this.#advance(position, isWhole ? position : this.#oldestKnownPosition);
+    return order > 0 || hasMerged;
   }
 
   /** @returns The changes for an instance that has the registrations of `position`. */
@@ -139,10 +143,14 @@
     this.#position = position;
   }
 
-  #mergeItems(items: readonly StoreItem[], position: StorePosition): void {
-    items.forEach((item) => {
+  /** @returns Whether any of the items is newer than what is known. */
+  #mergeItems(items: readonly StoreItem[], position: StorePosition): boolean {
+    const newItems = items.filter((item) => {
+      const existing = this.#entries.get(item.key);
+      return !existing || comparePositions(existing.item, item) < 0;
+    });
+    newItems.forEach((item) => {
       const existing = this.#entries.get(item.key);
-      if (existing && comparePositions(existing.item, item) >= 0) return;
       const registration = this.#decode(item);
       // After a restore, instances that have only read the copy need what is written again.
       const isUnchanged =
@@ -155,6 +163,7 @@
       this.#removed.delete(item.key);
       this.#unconfirmed.delete(item.key);
     });
+    return newItems.length > 0;
   }
 
   /** Selects the items that a restored store does not have merely because its copy is old. */
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -101,7 +101,10 @@
   /** Time since the configuration was last confirmed to be current, in milliseconds. */
   readonly catalogAgeMs: number;
   readonly registrations: RegistrationChanges;
-  /** Time since the registrations were read from the store, in milliseconds. */
+  /**
+   * Time since the registrations were read from the store, in milliseconds. A listing without those
+   * that are kept does not count: their removal would be late on every instance that gets them.
+   */
   readonly listedAgeMs: number;
 }
 
@@ -133,6 +136,9 @@
 
   #registrationsReadAt = -Infinity;
 
+  /** When the registrations were last known to be complete; earlier while missing ones are kept. */
+  #completeAt = -Infinity;
+
   /**
    * Whether a full snapshot of another instance may have left out removals. Until the registrations
    * are listed from the store, updates of other instances do not replace a listing.
@@ -229,7 +235,7 @@
       catalog: this.#configVersion > configVersion ? this.#configItem : undefined,
       catalogAgeMs: now - this.#configCheckedAt,
       registrations: this.#changeLog.getChangesSince(registrations),
-      listedAgeMs: this.registrationsAgeMs,
+      listedAgeMs: now - this.#completeAt,
     };
   }
 
@@ -251,15 +257,18 @@
     if (position.epoch < 0 || comparePositions(position, this.#changeLog.position) < 0) return;
     const isFirst = !this.hasRegistrations;
     this.#recordEpoch(position);
-    this.#changeLog.applyChanges(registrations);
+    const hasNews = this.#changeLog.applyChanges(registrations);
+    const earlierReadAt = this.#registrationsReadAt;
     this.#options.target.setRegistrations(this.#changeLog.registrations);
     // A full snapshot contains no removals, and the later updates contain only what changed since.
     if (isWhole && !isFirst) this.#mayMissRemovals = true;
     if (!this.#mayMissRemovals || this.#failingSince !== undefined) {
       this.#registrationsReadAt = Math.max(this.#registrationsReadAt, now - listedAgeMs);
       this.#lastSuccessAt = Math.max(this.#lastSuccessAt, this.#registrationsReadAt);
+      this.#completeAt = Math.max(this.#completeAt, now - listedAgeMs);
     }
-    this.#options.onChange();
+    // Instances that ask each other in an outage would pass on the same state without a pause.
+    if (hasNews || this.#registrationsReadAt > earlierReadAt) this.#options.onChange();
   }
 
   async #watchConfig(): Promise<void> {
@@ -339,7 +348,10 @@
       if (isWatched) this.#configCheckedAt = startedAt;
       const keepMissing = clock.now() < this.#keepMissingUntil;
       const isComplete = this.#changeLog.applyListing(listing.value, keepMissing);
-      if (isComplete) this.#mayMissRemovals = false;
+      if (isComplete) {
+        this.#mayMissRemovals = false;
+        this.#completeAt = startedAt;
+      }
       this.#options.target.setRegistrations(this.#changeLog.registrations);
       this.#options.onChange();
     }
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -87,6 +87,8 @@
 });
 
 const clock = new ManualClock();
+let changeCount: number;
+
 /** Ids of the endpoints, for each call of `setRegistrations`. */
 let appliedIds: (readonly string[])[];
 
@@ -113,12 +115,15 @@
     random: makeRandom(1),
     log: createLogger('test'),
     metrics: new Metrics(),
-    onChange: () => undefined,
+    onChange: () => {
+      changeCount += 1;
+    },
   });
 }
 
 beforeEach(() => {
   appliedIds = [];
+  changeCount = 0;
   setLogDestination({ write: () => undefined });
 });
 
@@ -205,6 +210,20 @@
     expect(replica.isFresh).toBe(true);
   });
 
+  /** Guards against instances that pass on the same state to each other without a pause. */
+  it.each([
+    { name: 'the same state', changes: {}, ages: { listedAgeMs: 20 }, isPassedOn: false },
+    { name: 'a later reading', changes: {}, ages: { listedAgeMs: 0 }, isPassedOn: true },
+    { name: 'a later position', changes: { position: at(6) }, ages: {}, isPassedOn: true },
+    { name: 'an item', changes: { items: [makeItem('e2', 6)] }, ages: {}, isPassedOn: true },
+  ])('with $name is passed on: $isPassedOn', ({ changes, ages, isPassedOn }) => {
+    const replica = makeReplica();
+    replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }), 'peer');
+    changeCount = 0;
+    replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)], ...changes }, ages), 'peer');
+    expect(changeCount > 0).toBe(isPassedOn);
+  });
+
   it('removes an endpoint whose removal the peer reports', () => {
     const replica = makeReplica();
     replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5), makeItem('e2', 5)] }), 'peer');
@@ -248,7 +267,13 @@
     replica.start();
     await vi.waitFor(() => expect(appliedIds.length).toBeGreaterThan(1));
     expect(appliedIds).toEqual([['e1'], ['e1']]);
+    // Guards against instances that keep an endpoint that left because another one does (soak seed
+    // 101): they read the store themselves when what they get is not new.
+    const progress = { registrations: at(0), configVersion: 0 };
+    expect(replica.registrationsAgeMs).toBeLessThan(1000);
+    expect(replica.buildUpdate(progress).listedAgeMs).toBeGreaterThan(9000);
     await vi.waitFor(() => expect(appliedIds.at(-1)).toEqual([]), 5000);
+    expect(replica.buildUpdate(progress).listedAgeMs).toBeLessThan(1000);
     replica.stop();
   });
 });
