Wait for the first connection before the limit of the pool is checked

It took 50 ms to be enough for the endpoint to accept a connection. A trial without that time fails at the same line (no connection in place of one); that the run had this cause is inferred.

The test now waits for the connection, then 50 ms as before for a second one, which must not be opened. What it checks is unchanged.

--- a/packages/proxy/test/pool.test.ts
+++ b/packages/proxy/test/pool.test.ts
@@ -2,7 +2,7 @@
 import type { RequestListener } from 'node:http';
 import { createServer as createTcp } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it, vi } from 'vitest';
 import { Cancellation, ConnectionPool } from '../src/index.js';
 import type { Attempt, PoolLimits } from '../src/index.js';
 
@@ -123,6 +123,7 @@
     void pool.send(makeAttempt());
     const cancellation = new Cancellation();
     const queued = read(pool, { cancellation });
+    await vi.waitFor(() => expect(sockets).toHaveLength(1));
     await wait(50);
     cancellation.cancel();
     expect(await queued).toBe('cancelled not-run');
