Keep to the limit that an endpoint names, with all requests

Seen: an endpoint that named a limit of 2.5 requests a second got 70 in 4 s (allowed: 20). Cause: nothing read Server-Limit. Calls, retries, hedges and probes went to the endpoint by its load alone; most of the excess were health probes, of which the instances send two for each call. Change: the new package backpressure keeps the limit by the lifetime of an endpoint. The instances divide three quarters of it by their number, in windows that start at random times and whose requests lapse, so that idle instances do not save them up. The picker leaves out an endpoint without a request to give, the sender takes one for each attempt and hedge, and no probe is sent while a limit is known. A call that no endpoint may get in time is refused at once with the time of the next request as Retry-After. Each start and end of a limit is logged with the answer that showed it.

--- /dev/null
+++ b/packages/backpressure/src/index.ts
@@ -0,0 +1,2 @@
+export * from './endpoint.js';
+export * from './table.js';
--- /dev/null
+++ b/packages/backpressure/test/endpoint.test.ts
@@ -0,0 +1,146 @@
+import { EndpointBackpressure } from '@dotterelpass/backpressure';
+import { ManualClock, makeRandom } from '@dotterelpass/values';
+import { describe, expect, it } from 'vitest';
+
+/** Window in which an endpoint's requests are counted. */
+const windowMs = 4000;
+
+const stepMs = 20;
+
+/** Instances that all want to send to one endpoint at every moment. */
+class EagerFleet {
+  readonly clock = new ManualClock();
+
+  readonly #instances: readonly EndpointBackpressure[];
+
+  constructor(fleetSize: number, seed: number) {
+    const { clock } = this;
+    const random = makeRandom(seed);
+    this.#instances = Array.from(
+      { length: fleetSize },
+      () => new EndpointBackpressure({ clock, random, getFleetSize: () => fleetSize }),
+    );
+  }
+
+  nameLimit(maxRequestsPerSecond: number): void {
+    this.#instances.forEach((instance) => instance.recordSignal({ maxRequestsPerSecond }, true));
+  }
+
+  /** @returns The times of the requests that are sent until `durationMs` have passed. */
+  send(durationMs: number): readonly number[] {
+    const sentAt: number[] = [];
+    const endAt = this.clock.now() + durationMs;
+    while (this.clock.now() < endAt) {
+      this.#instances.forEach((instance) => {
+        while (sentAt.length < 1e6 && instance.takeRequest()) sentAt.push(this.clock.now());
+      });
+      this.clock.advance(stepMs);
+    }
+    return sentAt;
+  }
+}
+
+function countMost(times: readonly number[]): number {
+  return Math.max(
+    0,
+    ...times.map((start) => times.filter((at) => at >= start && at < start + windowMs).length),
+  );
+}
+
+describe('EndpointBackpressure', () => {
+  const cases = [0.5, 3, 20, 60].flatMap((limit) =>
+    [1, 5, 50, 125].map((fleetSize) => ({ limit, fleetSize })),
+  );
+
+  /** Guards against instances that keep to a limit each by itself, or send at the same moment. */
+  it.each(cases)(
+    'keeps $fleetSize instances together to a limit of $limit a second',
+    ({ limit, fleetSize }) => {
+      const allowed = (1.5 * limit * windowMs) / 1000 + 5;
+      const most = [1, 2, 3, 4, 5].map((seed) => {
+        const fleet = new EagerFleet(fleetSize, seed);
+        fleet.nameLimit(limit);
+        return countMost(fleet.send(30_000));
+      });
+      expect(Math.max(...most)).toBeLessThanOrEqual(allowed);
+    },
+  );
+
+  /** Guards against requests that idle instances save up and send all at once. */
+  it.each(cases)(
+    'keeps $fleetSize instances to a limit of $limit after they were idle',
+    ({ limit, fleetSize }) => {
+      const fleet = new EagerFleet(fleetSize, 7);
+      fleet.nameLimit(limit);
+      fleet.clock.advance(100_000);
+      expect(countMost(fleet.send(10_000))).toBeLessThanOrEqual(
+        (1.5 * limit * windowMs) / 1000 + 5,
+      );
+    },
+  );
+
+  /** Guards against an old window whose requests a lower limit does not allow. */
+  it('keeps to a limit that falls', () => {
+    const fleet = new EagerFleet(125, 3);
+    fleet.nameLimit(100);
+    fleet.send(5000);
+    fleet.nameLimit(2.5);
+    expect(countMost(fleet.send(20_000))).toBeLessThanOrEqual(20);
+  });
+
+  /** Guards against a limit so strict that the endpoint gets almost nothing of what it can take. */
+  it.each([
+    { limit: 3, fleetSize: 5 },
+    { limit: 20, fleetSize: 5 },
+    { limit: 20, fleetSize: 50 },
+  ])('lets $fleetSize instances use a limit of $limit a second', ({ limit, fleetSize }) => {
+    const fleet = new EagerFleet(fleetSize, 1);
+    fleet.nameLimit(limit);
+    expect(fleet.send(60_000).length).toBeGreaterThan(0.6 * limit * 60);
+  });
+
+  /** Guards against a limit of zero that nobody would see the end of. */
+  it('sends a few requests to an endpoint that names a limit of zero', () => {
+    const fleet = new EagerFleet(5, 1);
+    fleet.nameLimit(0);
+    const sent = fleet.send(60_000);
+    expect(sent.length).toBeGreaterThan(5);
+    expect(countMost(sent)).toBeLessThanOrEqual(5);
+  });
+
+  it.each([
+    { name: 'an answer without a limit', mayEndLimit: true, limit: undefined, isProbed: true },
+    // Guards against probes whose answers never name a limit.
+    { name: 'an answer that may lack the limit', mayEndLimit: false, limit: 3, isProbed: false },
+  ])('has after $name a limit of $limit', ({ mayEndLimit, limit, isProbed }) => {
+    const clock = new ManualClock();
+    const endpoint = new EndpointBackpressure({
+      clock,
+      random: makeRandom(1),
+      getFleetSize: () => 1,
+    });
+    endpoint.recordSignal({ maxRequestsPerSecond: 3 }, true);
+    endpoint.recordSignal({ maxRequestsPerSecond: undefined }, mayEndLimit);
+    expect(endpoint.limit).toBe(limit);
+    expect(endpoint.allowsProbes).toBe(isProbed);
+  });
+
+  /** Guards against a log line for each answer of an endpoint whose limit wavers. */
+  it('reports the start, a large change and the end of a limit', () => {
+    const options = { clock: new ManualClock(), random: makeRandom(1), getFleetSize: () => 1 };
+    const endpoint = new EndpointBackpressure(options);
+    const limits = [3, 3.1, 2.9, 1.5, 1.6, undefined, undefined];
+    const changes = limits.map((limit) =>
+      endpoint.recordSignal({ maxRequestsPerSecond: limit }, true),
+    );
+    expect(changes.map((change) => change?.kind)).toEqual([
+      'limit',
+      undefined,
+      undefined,
+      'limit',
+      undefined,
+      'limit-ended',
+      undefined,
+    ]);
+  });
+});
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -6,7 +6,7 @@
 import type { Route } from './catalog.js';
 import type { LatencyEstimator } from './latency.js';
 import { busyFactor, hasSpareCapacity } from './picker.js';
-import type { Pick, Picker } from './picker.js';
+import type { Pick, Picker, PickRequest } from './picker.js';
 
 /** Safety factor on the expected time of a call that waits as long as its target allows. */
 const latestStartFactor = 1.25;
@@ -28,8 +28,19 @@
 const minPollIntervalMs = 10;
 const maxPollIntervalMs = 50;
 
+/** Endpoints that could take a call ask instances to wait for longer than the call can. */
+export interface NotBefore {
+  /** Monotonic time at which the first of them may get a request, in milliseconds. */
+  readonly notBefore: number;
+}
+
 /** Result of the admission of a call; undefined when no endpoint is reachable. */
-export type Admission = Pick | 'overload' | undefined;
+export type Admission = Pick | NotBefore | 'overload' | undefined;
+
+/** Whether a call was admitted. */
+export function isPick(admission: Admission): admission is Pick {
+  return typeof admission === 'object' && 'endpoint' in admission;
+}
 
 /** The parts of a call on which its admission depends. */
 export interface AdmissionRequest {
@@ -83,7 +94,11 @@
     const waitingCall = this.#buildWaitingCall(call);
     if (!queue.hasPrecedence(waitingCall)) {
       const pick = await this.#pick(call, records, false);
-      if (!pick || this.#canStart(call, pick, waitingCall.isLate)) return pick;
+      if (pick && this.#canStart(call, pick, waitingCall.isLate)) return pick;
+      if (!pick) {
+        const block = this.#findBlock(call, records);
+        if (!block || block.notBefore > waitingCall.waitUntil) return block;
+      }
     }
     return this.#waitForCapacity(call, records, queue, waitingCall);
   }
@@ -108,7 +123,12 @@
         if (cancellation.aborted) return undefined;
         if (!isTimeUp && !queue.isFirst(waiter)) continue;
         const pick = await this.#pick(call, records, isTimeUp || now >= localUntil);
-        if (!pick || this.#canStart(call, pick, isTimeUp || waitingCall.isLate)) return pick;
+        if (!pick) {
+          const block = this.#findBlock(call, records);
+          if (!block || isTimeUp || block.notBefore > waitingCall.waitUntil) return block;
+          continue;
+        }
+        if (this.#canStart(call, pick, isTimeUp || waitingCall.isLate)) return pick;
         if (isTimeUp) return this.#mayQueueAtEndpoint(call, pick) ? pick : 'overload';
       }
     } finally {
@@ -122,12 +142,13 @@
     records: readonly AttemptRecord[],
     needsSpareCapacity: boolean,
   ): Promise<Pick | undefined> {
-    return this.#options.picker.pick({
-      service: call.service,
-      route: call.route,
-      tried: records.map(({ endpoint }) => endpoint),
-      needsSpareCapacity,
-    });
+    return this.#options.picker.pick({ ...buildPickRequest(call, records), needsSpareCapacity });
+  }
+
+  /** Finds until when the endpoints that could take a call ask instances to wait. */
+  #findBlock(call: AdmissionRequest, records: readonly AttemptRecord[]): NotBefore | undefined {
+    const notBefore = this.#options.picker.findNextRequestAt(buildPickRequest(call, records));
+    return notBefore === undefined ? undefined : { notBefore };
   }
 
   /**
@@ -178,3 +199,10 @@
     return queue;
   }
 }
+
+function buildPickRequest(
+  { service, route }: AdmissionRequest,
+  records: readonly AttemptRecord[],
+): PickRequest {
+  return { service, route, tried: records.map(({ endpoint }) => endpoint) };
+}
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -61,7 +61,9 @@
   /** No reachable endpoint is left that was not tried. */
   | 'no-endpoint'
   /** No endpoint that was not tried could answer in time. */
-  | 'overload';
+  | 'overload'
+  /** All endpoints that were not tried ask instances to wait. */
+  | 'backpressure';
 
 /** Result of a call after all of its attempts. */
 export type CallResult =
@@ -79,8 +81,17 @@
       readonly kind: 'failed';
       readonly verdict: Verdict;
       readonly reason:
-        'no-endpoint' | 'overload' | 'shed' | 'timeout' | 'reset' | 'invalid' | 'cancelled';
+        | 'no-endpoint'
+        | 'overload'
+        | 'backpressure'
+        | 'shed'
+        | 'timeout'
+        | 'reset'
+        | 'invalid'
+        | 'cancelled';
       readonly message: string;
+      /** Time after which the caller may send the call again, in milliseconds. */
+      readonly retryAfterMs?: number;
       /** Present when the deadline ended the call. */
       readonly timedOutIn?: TimeoutPhase;
       /** Present when an attempt was made. */
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import type { BackpressureSignal } from '@dotterelpass/backpressure';
 import type { EndpointId, RequestId } from '@dotterelpass/values';
 
 /** Load of an endpoint, as reported by itself. */
@@ -33,6 +34,13 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** What a response asks for. */
+export interface ParsedBackpressure {
+  readonly signal: BackpressureSignal;
+  /** A header that could not be parsed; the signal does not contain it. */
+  readonly malformed: string | undefined;
+}
+
 /** Content of the response to a health probe. */
 export interface ProbeResult {
   readonly isHealthy: boolean;
@@ -76,6 +84,9 @@
   /** @returns The load report in the headers of a response, if there is one. */
   abstract parseLoadReport(headers: IncomingHttpHeaders): LoadReport | undefined;
 
+  /** Parses what a response asks for. */
+  abstract parseBackpressure(head: ResponseHead): ParsedBackpressure;
+
   /** Parses the response to a health probe. */
   abstract parseProbeResponse(head: ResponseHead): ProbeResult;
 }
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -1,3 +1,4 @@
+import type { EndpointBackpressure } from '@dotterelpass/backpressure';
 import { ConnectionPool } from '@dotterelpass/proxy';
 import type { LogFields } from '@dotterelpass/telemetry';
 import type { Clock } from '@dotterelpass/values';
@@ -60,7 +61,16 @@
 
   readonly #pool: ConnectionPool;
 
-  constructor(registration: Registration, maxConnections: number, clock: Clock) {
+  /** What the endpoint asks for in its answers. */
+  readonly backpressure: EndpointBackpressure;
+
+  constructor(
+    registration: Registration,
+    maxConnections: number,
+    clock: Clock,
+    backpressure: EndpointBackpressure,
+  ) {
+    this.backpressure = backpressure;
     this.#clock = clock;
     this.#registration = registration;
     this.#warmUntil = clock.now() + registration.warmupMs;
@@ -204,6 +214,7 @@
       isFull: this.#isFull,
       isHealthy: this.#isHealthy,
       isWarm: this.isWarm,
+      ...this.backpressure.readStatus(),
       failureScore: this.failureScore,
       shedScore: this.shedScore,
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, InstanceId, Random, ServiceId } from '@dotterelpass/values';
 import { CallAdmission } from './admission.js';
+import { BackpressureRecorder } from './backpressure.js';
 import { CallSender } from './sender.js';
 import type { Call } from './call.js';
 import { CallHandler } from './handler.js';
@@ -111,13 +112,17 @@
       () => this.#budget.setAllowance(this.#calculateAllowance()),
       limits.retryWindowMs,
     ).unref();
+    const backpressure = new BackpressureRecorder({ headerCodec, log, metrics });
     this.#registry = new EndpointRegistry({
       clock,
+      random,
       log,
+      getFleetSize: () => this.#fleetSize,
       calculateConnectionLimit: (service) => this.#calculateConnectionLimit(service),
     });
     this.#prober = new Prober({
       headerCodec,
+      backpressure,
       metrics,
       getMaxProbesPerSecond: () =>
         (this.#limits.probesPerSecond * limitSafetyFactor * this.#registry.size) / this.#fleetSize,
@@ -136,6 +141,7 @@
     const sender = new CallSender({
       headerCodec,
       admission: this.#admission,
+      backpressure,
       picker,
       latency: this.#latency,
       budget: this.#budget,
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -261,11 +261,12 @@
       incoming.response.destroy();
       return { status: 0, verdict: result.verdict, reason: 'caller-left' };
     }
-    const { verdict, message, reason } = result;
+    const { verdict, message, reason, retryAfterMs } = result;
     if (verdict === 'not-run') {
       const waitMs = match(reason)
         .with('overload', () => overloadRetryAfterMs)
         .with('shed', () => shedRetryAfterMs)
+        .with('backpressure', () => retryAfterMs ?? unreachableRetryAfterMs)
         .otherwise(() => unreachableRetryAfterMs);
       return this.#respondWithRefusal(incoming, { status: 503, verdict, message }, reason, waitMs);
     }
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -129,7 +129,7 @@
     let best = await this.#pickFromGroup(local, input);
     if (best && isGoodEnough(best, input)) return best;
     if (local.length > maxProbesPerGroup) {
-      const unprobed = local.filter(({ reportAgeMs }) => reportAgeMs > maxFreshAgeMs);
+      const unprobed = local.filter(needsProbe);
       best = chooseBetter(best, await this.#pickFromGroup(unprobed, input));
     }
     if ((best && isGoodEnough(best, input)) || !input.needsSpareCapacity) return best;
@@ -140,15 +140,31 @@
   async #pickFromGroup(group: readonly Endpoint[], input: RankingInput): Promise<Pick | undefined> {
     if (group.length === 0) return undefined;
     const sampled = this.#selectCandidates(group, input);
-    const stale = sampled.filter(({ reportAgeMs }) => reportAgeMs > maxFreshAgeMs);
+    const stale = sampled.filter(needsProbe);
     await waitForProbes(stale.map((endpoint) => this.#options.probeEndpoint(endpoint)));
     // An endpoint that has not answered yet has no slot for the probe, or is cut off. Its last known
     // load must not make it look better than those that have answered.
-    const answered = sampled.filter(({ reportAgeMs }) => reportAgeMs <= maxFreshAgeMs);
+    const answered = sampled.filter((endpoint) => !needsProbe(endpoint));
     const reachable = sampled.filter(({ isReachable }) => isReachable);
     return this.#findBest(answered.length > 0 ? answered : reachable, input);
   }
 
+  /**
+   * Finds when an endpoint may get a request that may not get one now.
+   *
+   * @param request - The call.
+   * @returns The earliest monotonic time, in milliseconds; undefined when no endpoint of the service
+   * asks instances to wait, or not for a finite time.
+   */
+  findNextRequestAt({ service, tried }: PickRequest): number | undefined {
+    const times = this.#options
+      .listEndpoints(service)
+      .filter(({ registration: { id }, isReachable }) => isReachable && !tried.includes(id))
+      .map(({ backpressure }) => backpressure.findNextRequestAt())
+      .filter(Number.isFinite);
+    return times.length > 0 ? Math.min(...times) : undefined;
+  }
+
   #pickWithoutProbes(group: readonly Endpoint[], input: RankingInput): Pick | undefined {
     return this.#findBest(
       group.filter(({ isReachable }) => isReachable),
@@ -213,6 +229,11 @@
   readonly leastPenalty: number;
 }
 
+/** Whether the load of an endpoint must be asked for. Some endpoints do not allow that. */
+function needsProbe({ reportAgeMs, backpressure }: Endpoint): boolean {
+  return reportAgeMs > maxFreshAgeMs && backpressure.allowsProbes;
+}
+
 function isGoodEnough(
   { endpoint, rankMs }: Pick,
   { route, needsSpareCapacity }: PickRequest,
--- a/packages/gateway/src/preference.ts
+++ b/packages/gateway/src/preference.ts
@@ -88,15 +88,17 @@
   }
 }
 
-/** @returns The endpoints that were not tried and, unless there are none, are reachable. */
+/**
+ * @returns The endpoints that were not tried and may get a request now; only the reachable ones
+ * unless there are none.
+ */
 function selectUsable(
   endpoints: readonly Endpoint[],
   tried: readonly EndpointId[],
 ): readonly Endpoint[] {
-  const untried =
-    tried.length === 0
-      ? endpoints
-      : endpoints.filter(({ registration: { id } }) => !tried.includes(id));
-  const reachable = untried.filter(({ isReachable }) => isReachable);
-  return reachable.length > 0 ? reachable : untried;
+  const usable = endpoints.filter(
+    ({ registration: { id }, backpressure }) => !tried.includes(id) && backpressure.allowsRequest,
+  );
+  const reachable = usable.filter(({ isReachable }) => isReachable);
+  return reachable.length > 0 ? reachable : usable;
 }
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -1,5 +1,6 @@
 import type { Metrics } from '@dotterelpass/telemetry';
 import type { EndpointId, ServiceId } from '@dotterelpass/values';
+import type { BackpressureRecorder } from './backpressure.js';
 import type { HeaderCodec, ResponseHead } from './codec.js';
 import type { Endpoint } from './endpoint.js';
 import { sendProbe } from './probe.js';
@@ -10,6 +11,7 @@
 
 export interface ProberOptions {
   readonly headerCodec: HeaderCodec;
+  readonly backpressure: BackpressureRecorder;
   readonly metrics: Metrics;
   /** Returns the probes a second that this instance may send to all endpoints together. */
   readonly getMaxProbesPerSecond: () => number;
@@ -38,11 +40,12 @@
    * Probes an endpoint. Concurrent calls for the same endpoint share one probe.
    *
    * @param endpoint - The endpoint, which receives the load report.
-   * @returns Whether the endpoint responded as expected; when the probe budget is spent, whether it
-   * is reachable as far as is known.
+   * @returns Whether the endpoint responded as expected; when it may not be probed or the probe budget
+   * is spent, whether it is reachable as far as is known.
    */
   async probe(endpoint: Endpoint): Promise<boolean> {
     const { id, service } = endpoint.registration;
+    if (!endpoint.backpressure.allowsProbes) return endpoint.isReachable;
     const running = this.#running.get(id);
     if (running) return running;
     const path = this.#options.findHealthPath(service);
@@ -124,6 +127,7 @@
       return false;
     }
     metrics.recordEvent('probe', service);
+    this.#options.backpressure.recordAnswer(endpoint, head, 'probe');
     if (result.report) endpoint.recordReport(result.report);
     endpoint.setHealthy(result.isHealthy);
     return true;
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -1,5 +1,6 @@
+import { BackpressureTable } from '@dotterelpass/backpressure';
 import type { Logger } from '@dotterelpass/telemetry';
-import type { Clock, EndpointId, ServiceId } from '@dotterelpass/values';
+import type { Clock, EndpointId, Random, ServiceId } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import { Endpoint } from './endpoint.js';
 
@@ -8,7 +9,10 @@
 
 export interface EndpointRegistryOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: Logger;
+  /** Returns the number of instances. */
+  getFleetSize(): number;
   /** Returns the maximum connections of this instance to one endpoint of a configured service. */
   calculateConnectionLimit(service: ServiceId): number | undefined;
 }
@@ -19,11 +23,14 @@
 
   readonly #endpoints = new Map<EndpointId, Endpoint>();
 
+  readonly #backpressure: BackpressureTable;
+
   /** Endpoints that are ready for calls. */
   #readyByService = new Map<ServiceId, readonly Endpoint[]>();
 
   constructor(options: EndpointRegistryOptions) {
     this.#options = options;
+    this.#backpressure = new BackpressureTable(options);
   }
 
   get size(): number {
@@ -97,9 +104,15 @@
     if (existing) this.#remove(registration.id, 'restarted');
     const connections =
       this.#options.calculateConnectionLimit(registration.service) ?? fallbackConnections;
-    const endpoint = new Endpoint(registration, connections, this.#options.clock);
-    this.#endpoints.set(registration.id, endpoint);
-    const { id, service, address, failureDomain, state } = registration;
+    const { id, service, address, failureDomain, state, startedAtMs } = registration;
+    const lifetime = [service, address, startedAtMs].join(' ');
+    const endpoint = new Endpoint(
+      registration,
+      connections,
+      this.#options.clock,
+      this.#backpressure.getOrCreate(id, lifetime),
+    );
+    this.#endpoints.set(id, endpoint);
     this.#options.log.info('endpoint-added', {
       endpoint: id,
       service,
@@ -114,6 +127,7 @@
     const endpoint = this.#endpoints.get(id);
     if (!endpoint) return;
     this.#endpoints.delete(id);
+    this.#backpressure.release(id);
     this.#options.log.info('endpoint-removed', { endpoint: id, reason });
     // Calls in flight still end on their connections.
     endpoint.pool.drain();
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -3,7 +3,9 @@
 import type { RetryBudget } from '@dotterelpass/retries';
 import type { Metrics } from '@dotterelpass/telemetry';
 import type { Verdict } from '@dotterelpass/values';
+import { isPick } from './admission.js';
 import type { Admission, CallAdmission } from './admission.js';
+import type { BackpressureRecorder } from './backpressure.js';
 import { createCutFailure, readResponseBody } from './body.js';
 import { createCancelledFailure, combineVerdicts, discardAnswer } from './call.js';
 import type { AttemptRecord, Call, CallResult, CallFailure, RetryBlock } from './call.js';
@@ -38,6 +40,7 @@
 export interface CallSenderOptions {
   readonly headerCodec: HeaderCodec;
   readonly admission: CallAdmission;
+  readonly backpressure: BackpressureRecorder;
   readonly picker: Picker;
   readonly latency: LatencyEstimator;
   readonly budget: RetryBudget;
@@ -89,12 +92,14 @@
         const failure = { ...createCancelledFailure(), verdict: worstVerdict };
         return addRetryBlock(failure, 'caller-left', records);
       }
-      if (pick === undefined || pick === 'overload') {
+      if (!isPick(pick)) {
         const failure = isRetry
           ? { ...lastFailure, verdict: worstVerdict }
           : createUnsentFailure(call, pick);
-        return addRetryBlock(failure, pick ?? 'no-endpoint', records);
+        return addRetryBlock(failure, getBlockReason(pick), records);
       }
+      // Another call may have taken the last request that the endpoint allows.
+      if (!pick.endpoint.backpressure.takeRequest()) continue;
       if (isRetry) this.#recordExtraAttempt(call, 'retry');
       const result = await this.#sendHedged(call, pick, records);
       if (result.kind === 'answer') {
@@ -174,6 +179,7 @@
     const secondPick = await this.#pick(call, records);
     if (!secondPick || !hasSpareCapacity(secondPick.endpoint) || incoming.cancellation.aborted)
       return first;
+    if (!secondPick.endpoint.backpressure.takeRequest()) return first;
     this.#recordExtraAttempt(call, 'hedge');
     const secondCancellation = incoming.cancellation.makeChild();
     const second = this.#sendAttempt(call, secondPick, records, secondCancellation);
@@ -189,7 +195,7 @@
     records: AttemptRecord[],
     cancellation: Cancellation,
   ): Promise<CallResult> {
-    const { headerCodec, latency, admission } = this.#options;
+    const { headerCodec, latency, admission, backpressure } = this.#options;
     const startedAt = performance.now();
     const { id } = endpoint.registration;
     const record: AttemptRecord = {
@@ -238,6 +244,9 @@
       const { message } = classification;
       return { kind: 'failed', verdict: 'may-have-run', reason: 'invalid', message };
     }
+    if (classification.kind === 'answer' || classification.reason !== 'other-endpoint') {
+      backpressure.recordAnswer(endpoint, head, 'call', call.id);
+    }
     const body = await readResponseBody(
       response,
       Math.max(1, call.deadlineAt - performance.now()),
@@ -326,8 +335,22 @@
   return records.length > 0 ? { ...failure, retryBlock } : failure;
 }
 
+function getBlockReason(admission: Exclude<Admission, Pick>): RetryBlock {
+  if (typeof admission === 'object') return 'backpressure';
+  return admission ?? 'no-endpoint';
+}
+
 function createUnsentFailure({ service }: Call, pick: Exclude<Admission, Pick>): CallFailure {
   const verdict = 'not-run';
+  if (typeof pick === 'object') {
+    return {
+      kind: 'failed',
+      verdict,
+      reason: 'backpressure',
+      message: `all endpoints of service ${service} ask callers to wait`,
+      retryAfterMs: Math.max(1, pick.notBefore - performance.now()),
+    };
+  }
   return pick === 'overload'
     ? {
         kind: 'failed',
--- a/packages/gateway/test/admission.test.ts
+++ b/packages/gateway/test/admission.test.ts
@@ -2,10 +2,11 @@
 import { makeRandom, systemClock } from '@dotterelpass/values';
 import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { CallAdmission } from '../src/admission.js';
+import { CallAdmission, isPick } from '../src/admission.js';
 import type { Admission, AdmissionRequest } from '../src/admission.js';
 import type { Route, RouteName } from '../src/catalog.js';
 import { Endpoint } from '../src/endpoint.js';
+import { createBackpressure } from './backpressure.js';
 import { LatencyEstimator } from '../src/latency.js';
 import { Picker } from '../src/picker.js';
 import { EndpointPreference } from '../src/preference.js';
@@ -69,7 +70,7 @@
       startedAtMs: undefined,
       warmupMs: 0,
     };
-    this.endpoint = new Endpoint(registration, 4, clock);
+    this.endpoint = new Endpoint(registration, 4, clock, createBackpressure(clock));
   }
 
   reportLoad(): void {
@@ -193,7 +194,7 @@
       incoming: { cancellation: new Cancellation() },
     };
     const pick = await (admit ? admit() : admission.admitCall(request, []));
-    if (pick === undefined || pick === 'overload') return false;
+    if (!isPick(pick)) return false;
     const { endpoint } = pick;
     const { load } = endpoint;
     const startedAt = clock.now();
@@ -298,7 +299,7 @@
       picker: picker as never,
     });
     const [full] = [await simulation.admitAtOnce()];
-    if (typeof full === 'object') full.endpoint.recordFull();
+    if (isPick(full)) full.endpoint.recordFull();
     vi.spyOn(simulation, 'admitAtOnce').mockResolvedValue(full);
     const admitted = admission.admitCall(
       {
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -14,7 +14,12 @@
 } from '@dotterelpass/values';
 import type { Route, RouteName } from '../src/catalog.js';
 import { HeaderCodec } from '../src/codec.js';
-import type { ProbeResult, ResponseClassification, ResponseHead } from '../src/codec.js';
+import type {
+  ParsedBackpressure,
+  ProbeResult,
+  ResponseClassification,
+  ResponseHead,
+} from '../src/codec.js';
 import { Gateway } from '../src/gateway.js';
 
 /** Slots of each endpoint, so that no call waits for one. */
@@ -55,6 +60,11 @@
     return undefined;
   }
 
+  override parseBackpressure({ headers }: ResponseHead): ParsedBackpressure {
+    const limit = headers.limit === undefined ? undefined : Number(headers.limit);
+    return { signal: { maxRequestsPerSecond: limit }, malformed: undefined };
+  }
+
   override parseProbeResponse({ status }: ResponseHead): ProbeResult {
     const report = { running: 0, waiting: 0, slots, slowdown: 1 };
     return { isHealthy: status === 200, id: undefined, report };
--- a/packages/gateway/test/picker.test.ts
+++ b/packages/gateway/test/picker.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import type { Route, RouteName } from '../src/catalog.js';
 import { Endpoint } from '../src/endpoint.js';
+import { createBackpressure } from './backpressure.js';
 import type { AttemptEnding } from '../src/endpoint.js';
 import { calculateHedgeDelayMs } from '../src/hedge.js';
 import { Picker, hasSpareCapacity } from '../src/picker.js';
@@ -46,7 +47,7 @@
       startedAtMs: undefined,
       warmupMs,
     };
-    return new Endpoint(registration, 4, clock);
+    return new Endpoint(registration, 4, clock, createBackpressure(clock));
   });
   endpoints.forEach((endpoint, index) => {
     specs[index]?.outcomes?.forEach((outcome) => {
--- a/packages/gateway/test/preference.test.ts
+++ b/packages/gateway/test/preference.test.ts
@@ -2,6 +2,7 @@
 import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, describe, expect, it } from 'vitest';
 import { Endpoint } from '../src/endpoint.js';
+import { createBackpressure } from './backpressure.js';
 import { EndpointPreference } from '../src/preference.js';
 
 let endpoints: Endpoint[] = [];
@@ -22,7 +23,7 @@
       startedAtMs: undefined,
       warmupMs: 0,
     };
-    return new Endpoint(registration, 4, systemClock);
+    return new Endpoint(registration, 4, systemClock, createBackpressure(systemClock));
   });
   return endpoints;
 }
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -1,13 +1,20 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import { Metrics } from '@dotterelpass/telemetry';
+import { Metrics, createLogger } from '@dotterelpass/telemetry';
 import { systemClock } from '@dotterelpass/values';
 import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { HeaderCodec } from '../src/codec.js';
-import type { ProbeResult, ResponseClassification, ResponseHead } from '../src/codec.js';
+import type {
+  ParsedBackpressure,
+  ProbeResult,
+  ResponseClassification,
+  ResponseHead,
+} from '../src/codec.js';
+import { BackpressureRecorder } from '../src/backpressure.js';
 import { Endpoint } from '../src/endpoint.js';
+import { createBackpressure } from './backpressure.js';
 import { Prober } from '../src/prober.js';
 
 /** Reads the load from the header `load`, which holds the number of running calls. */
@@ -32,6 +39,11 @@
     return undefined;
   }
 
+  override parseBackpressure({ headers }: ResponseHead): ParsedBackpressure {
+    const limit = headers.limit === undefined ? undefined : Number(headers.limit);
+    return { signal: { maxRequestsPerSecond: limit }, malformed: undefined };
+  }
+
   override parseProbeResponse({ status, headers }: ResponseHead): ProbeResult {
     const running = Number(headers.load ?? 0);
     const report = { running, waiting: 0, slots: 2, slowdown: 1 };
@@ -103,12 +115,16 @@
     startedAtMs: undefined,
     warmupMs: 0,
   };
-  const endpoint = new Endpoint(registration, 8, systemClock);
+  const endpoint = new Endpoint(registration, 8, systemClock, createBackpressure(systemClock));
   endpoints.push(endpoint);
   const onLateReport = vi.fn();
+  const headerCodec = new TestCodec();
+  const metrics = new Metrics();
+  const log = createLogger('test');
   const prober = new Prober({
-    headerCodec: new TestCodec(),
-    metrics: new Metrics(),
+    headerCodec,
+    backpressure: new BackpressureRecorder({ headerCodec, log, metrics }),
+    metrics,
     getMaxProbesPerSecond: () => 1000,
     findHealthPath: () => '/health',
     onLateReport,
