Refuse calls late in a stop whose deadlines outlast it

It can happen here: a call that arrives at 0.4 of the grace period and takes much longer than the estimate of its route was passed on, ran, and got no answer (the new test had status 0 and a run for each of the calls, also of a route that may run once). Cause: a call was accepted when five times its estimated latency fitted before the end of the stop; a straggler takes longer than that. Change: from 0.3 of the grace period on, only calls whose deadlines come before the end are accepted. The others are refused at once, not run, and their callers go to another instance. Both tests of the new table failed before and pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { CallSender } from './sender.js';
 import type { Call } from './call.js';
 import { CallHandler } from './handler.js';
+import type { PlannedStop } from './handler.js';
 import type { CallerBounds, GatewayConfig, Registration } from './catalog.js';
 import { CrashTable } from './crashes.js';
 import type { HeaderCodec } from './codec.js';
@@ -92,8 +93,7 @@
   /** Monotonic time, in milliseconds. */
   readonly #startedAt: number;
 
-  /** Monotonic time at which calls in flight are cut off, in milliseconds. */
-  #stopDeadline = Infinity;
+  #stop: PlannedStop | undefined;
 
   /** @param expectedInstances - Assumed fleet size until the number of instances is known. */
   constructor(options: GatewayOptions, expectedInstances: number) {
@@ -160,7 +160,7 @@
       log,
       metrics,
       latency: this.#latency,
-      getStopDeadline: () => this.#stopDeadline,
+      getStop: () => this.#stop,
       readCallerBounds: () => this.#config?.bounds ?? initialBounds,
     });
     this.#callers = new CallerServer(
@@ -264,10 +264,10 @@
    * Starts to drain: callers are asked to close their connections, and calls that could be cut off
    * by the stop are refused.
    *
-   * @param deadlineAt - Monotonic time at which calls in flight are cut off, in milliseconds.
+   * @param stop - The stop.
    */
-  startDraining(deadlineAt: number): void {
-    this.#stopDeadline = deadlineAt;
+  startDraining(stop: PlannedStop): void {
+    this.#stop = stop;
     this.#callers.startDraining();
   }
 
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -46,10 +46,13 @@
 
 /**
  * Time that a call must have before this instance stops, relative to its estimated latency. Some
- * calls take several times as long as most, and none may be cut off by a planned stop.
+ * calls take several times as long as most.
  */
 const stopSafetyFactor = 5;
 
+/** Time between the deadline of a call and the stop, in which its response is sent. */
+const stopMarginMs = 20;
+
 /** Margin between the deadline of a call and the end of its caller's timeout. */
 const deadlineMarginMs = 10;
 
@@ -69,8 +72,19 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readCallerBounds(): CallerBounds;
-  /** Returns the monotonic time at which calls in flight are cut off; infinite without a stop. */
-  getStopDeadline(): number;
+  /** Returns the planned stop of this instance, if it is stopping. */
+  getStop(): PlannedStop | undefined;
+}
+
+/** A stop of this instance; times are monotonic, in milliseconds. */
+export interface PlannedStop {
+  /**
+   * Time from which only calls are accepted whose deadlines come before the end: by then, callers
+   * have other instances, and no estimate is safe for calls that take very long.
+   */
+  readonly lateFrom: number;
+  /** Time at which calls in flight are cut off. */
+  readonly endsAt: number;
 }
 
 type CallTimes = Pick<Call, 'targetDeadlineAt' | 'deadlineAt'>;
@@ -134,17 +148,17 @@
       this.#refuseEarly(incoming, { status: 404, verdict: 'not-run', message });
       return;
     }
-    if (!this.#canFinish(route, performance.now())) {
-      const message = 'this instance stops before the call could be answered';
-      const refusal = { status: 503, verdict: 'not-run', message } as const;
-      this.#refuseEarly(incoming, refusal, stoppingRetryAfterMs);
-      return;
-    }
     const callerLimitMs =
       callerTimeoutMs === undefined ? Infinity : callerTimeoutMs - deadlineMarginMs;
     const limitMs = Math.min(route.timeoutMs, callerLimitMs);
     const timeLimit = callerLimitMs < route.timeoutMs ? 'caller-timeout' : 'route-timeout';
     const deadlineAt = startedAt + Math.max(minCallMs, limitMs);
+    if (!this.#canFinish(route, deadlineAt)) {
+      const message = 'this instance stops before the call could be answered';
+      const refusal = { status: 503, verdict: 'not-run', message } as const;
+      this.#refuseEarly(incoming, refusal, stoppingRetryAfterMs);
+      return;
+    }
     const waitedMs = callerTimeouts.estimateWaitedMs(route.name, callerTimeoutMs);
     const targetDeadlineAt = startedAt + route.targetLatencyMs - waitedMs;
     const records: AttemptRecord[] = [];
@@ -184,9 +198,12 @@
   }
 
   /** Whether a call that arrives now is answered before this instance stops. */
-  #canFinish(route: Route, now: number): boolean {
-    const { latency, getStopDeadline } = this.#options;
-    return now + stopSafetyFactor * latency.estimateMs(route) <= getStopDeadline();
+  #canFinish(route: Route, deadlineAt: number): boolean {
+    const stop = this.#options.getStop();
+    if (!stop || deadlineAt + stopMarginMs <= stop.endsAt) return true;
+    const now = performance.now();
+    const usualMs = this.#options.latency.estimateMs(route);
+    return now < stop.lateFrom && now + stopSafetyFactor * usualMs <= stop.endsAt;
   }
 
   async #sendThroughRoute(
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -54,6 +54,9 @@
  */
 const firstStartWaitMs = 3000;
 
+/** Share of the grace period after which calls are refused that could outlast the stop. */
+const lateShare = 0.3;
+
 /** Share of the grace period in which connections are still accepted. */
 const drainShare = 0.6;
 
@@ -216,7 +219,11 @@
     const { graceMs, log, store, clock } = this.#options;
     const { callers } = this.#gateway;
     log.info('stopping', { active: callers.activeCalls, graceMs });
-    this.#gateway.startDraining(clock.now() + graceMs * closeShare);
+    const now = clock.now();
+    this.#gateway.startDraining({
+      lateFrom: now + graceMs * lateShare,
+      endsAt: now + graceMs * closeShare,
+    });
     await sleep(graceMs * drainShare);
     await callers.close(graceMs * (closeShare - drainShare));
     this.#replica.stop();
