--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -32,6 +32,8 @@
 export interface ResponseHead {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** Whether the connection has carried an earlier request, whose answer this may be once more. */
+  readonly isReused: boolean;
 }
 
 /** What a response asks for. */
--- a/packages/gateway/src/probe.ts
+++ b/packages/gateway/src/probe.ts
@@ -119,7 +119,8 @@
       });
       outgoing.on('response', (response) => {
         discardBody(response);
-        const head = { status: response.statusCode ?? 0, headers: response.headers };
+        const { statusCode: status = 0, headers } = response;
+        const head = { status, headers, isReused: this.isReused };
         response.on('end', () => finish(response.complete ? head : undefined));
         response.on('close', () => finish());
       });
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,4 +1,4 @@
-import { copyEndToEndHeaders } from '@dotterelpass/proxy';
+import { copyEndToEndHeaders, isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
 import type { RetryBudget } from '@dotterelpass/retries';
 import type { Metrics } from '@dotterelpass/telemetry';
@@ -234,7 +234,8 @@
     if (sentResult.isErr()) return this.#convertFailure(call, endpoint, sentResult.error, finish);
     const response = sentResult.value;
     const { headers } = response;
-    const head = { status: response.statusCode ?? 0, headers };
+    const isReused = isOnReusedConnection(response);
+    const head = { status: response.statusCode ?? 0, headers, isReused };
     const classification = headerCodec.classifyResponse(head, call.id);
     const report = headerCodec.parseLoadReport(headers);
     if (classification.kind === 'invalid') {
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -308,6 +308,17 @@
   return verdict === 'not-run' ? 'connect' : 'reset';
 }
 
+/**
+ * Whether the connection of a response has carried an earlier request.
+ *
+ * @param response - Response to a request of this process.
+ */
+export function isOnReusedConnection(response: IncomingMessage): boolean {
+  // Node sets `req` on responses but does not declare it.
+  const { req } = response as { readonly req?: ClientRequest };
+  return req?.reusedSocket === true;
+}
+
 /** Returns whether the response ends with its connection, so that truncation is undetectable. */
 function isCloseDelimited(response: IncomingMessage, method: string): boolean {
   const status = response.statusCode ?? 0;
