Reject header names with a space

Seen: the test 'refuses space before a colon' fails on the untouched on this machine, whose Node.js is 20.19.0 (llhttp 8.1.2): its parser takes 'X-A ' for a name, and a request with it was forwarded to the handler. Change: readTarget refuses such a name with 400, as other versions of the parser do. The test passes unchanged.

--- a/packages/proxy/src/target.ts
+++ b/packages/proxy/src/target.ts
@@ -40,6 +40,8 @@
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] as string;
     const value = rawHeaders[index + 1] as string;
+    // The parser of some versions of Node.js takes the space before a colon for part of the name.
+    if (name.includes(' ')) return reject(`the header name ${JSON.stringify(name)} has a space`);
     if (name.length === 4 && name.toLowerCase() === 'host') {
       if (host !== undefined) return reject('the request has more than one Host header');
       host = value;
