Send nothing more to an endpoint whose answers say that it leaves

Cause: only the registration told that an endpoint leaves. Change: the state is kept with the limit, by lifetime. From the first answer to a call or probe on, the endpoint gets no call, retry, hedge or probe, and its idle connections are closed; calls under way are answered.

--- a/packages/backpressure/src/endpoint.ts
+++ b/packages/backpressure/src/endpoint.ts
@@ -20,12 +20,20 @@
 export interface BackpressureSignal {
   /** Requests a second that the endpoint takes from all instances; undefined without a limit. */
   readonly maxRequestsPerSecond: number | undefined;
+  /** Whether the endpoint is about to stop. */
+  readonly isLeaving: boolean;
 }
 
 /** A change of what is known of an endpoint. */
-export interface BackpressureChange {
-  readonly kind: 'limit' | 'limit-ended';
+export type BackpressureChange =
+  | { readonly kind: 'limit'; readonly maxRequestsPerSecond: number }
+  | { readonly kind: 'limit-ended' }
+  | { readonly kind: 'leaving' };
+
+/** What an endpoint asks for at present. */
+export interface BackpressureStatus {
   readonly maxRequestsPerSecond: number | undefined;
+  readonly isLeaving: boolean;
 }
 
 export interface BackpressureOptions {
@@ -45,6 +53,8 @@
 
   #reportedLimit: number | undefined;
 
+  #isLeaving = false;
+
   constructor(options: BackpressureOptions) {
     this.#options = options;
     this.#window = new RateWindow(options.clock, options.random);
@@ -55,9 +65,14 @@
     return this.#limit;
   }
 
+  /** Whether the process of the endpoint is about to stop; it gets no further request. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   /** Whether the endpoint may be probed. Probes would use up the requests of a limit. */
   get allowsProbes(): boolean {
-    return this.#limit === undefined;
+    return this.#limit === undefined && this.allowsRequest;
   }
 
   /** Whether a request may be sent now. */
@@ -70,26 +85,27 @@
    *
    * @param signal - What the answer asks for.
    * @param mayEndLimit - Whether an answer without a limit ends the present one.
-   * @returns The change that the answer makes; undefined without one that is worth a report.
+   * @returns The changes that the answer makes and that are worth a report.
    */
-  recordSignal(
-    { maxRequestsPerSecond }: BackpressureSignal,
-    mayEndLimit: boolean,
-  ): BackpressureChange | undefined {
-    if (maxRequestsPerSecond === undefined && !mayEndLimit) return undefined;
-    this.#limit = maxRequestsPerSecond;
-    // The windows of this instance start when the endpoint first names a limit.
-    this.#updateRate();
-    if (!isReportedChange(this.#reportedLimit, maxRequestsPerSecond)) return undefined;
-    this.#reportedLimit = maxRequestsPerSecond;
-    return {
-      kind: maxRequestsPerSecond === undefined ? 'limit-ended' : 'limit',
-      maxRequestsPerSecond,
-    };
+  recordSignal(signal: BackpressureSignal, mayEndLimit: boolean): readonly BackpressureChange[] {
+    const { maxRequestsPerSecond, isLeaving } = signal;
+    const changes: BackpressureChange[] = [];
+    if (isLeaving && !this.#isLeaving) {
+      this.#isLeaving = true;
+      changes.push({ kind: 'leaving' });
+    }
+    if (maxRequestsPerSecond !== undefined || mayEndLimit) {
+      this.#setLimit(maxRequestsPerSecond, changes);
+    }
+    return changes;
   }
 
-  /** @returns The earliest monotonic time at which a request may be sent, in milliseconds. */
+  /**
+   * @returns The earliest monotonic time at which a request may be sent, in milliseconds; infinite
+   * for an endpoint that is leaving.
+   */
   findNextRequestAt(): number {
+    if (this.#isLeaving) return Infinity;
     if (this.#limit === undefined) return -Infinity;
     this.#updateRate();
     return this.#window.findNextRequestAt();
@@ -101,16 +117,27 @@
    * @returns Whether the request may be sent.
    */
   takeRequest(): boolean {
-    if (this.#limit === undefined) return true;
     if (!this.allowsRequest) return false;
-    this.#window.recordRequest();
+    if (this.#limit !== undefined) this.#window.recordRequest();
     return true;
   }
 
   /** @returns What the endpoint asks for, for operators. */
-  readStatus(): { readonly limit: number | undefined; readonly waitMs: number } {
-    const waitMs = Math.max(0, this.findNextRequestAt() - this.#options.clock.now());
-    return { limit: this.#limit, waitMs: Math.round(waitMs) };
+  readStatus(): BackpressureStatus {
+    return { maxRequestsPerSecond: this.#limit, isLeaving: this.#isLeaving };
+  }
+
+  #setLimit(limit: number | undefined, changes: BackpressureChange[]): void {
+    this.#limit = limit;
+    // The windows of this instance start when the endpoint first names a limit.
+    this.#updateRate();
+    if (!isReportedChange(this.#reportedLimit, limit)) return;
+    this.#reportedLimit = limit;
+    changes.push(
+      limit === undefined
+        ? { kind: 'limit-ended' }
+        : { kind: 'limit', maxRequestsPerSecond: limit },
+    );
   }
 
   #updateRate(): void {
--- a/packages/backpressure/test/endpoint.test.ts
+++ b/packages/backpressure/test/endpoint.test.ts
@@ -1,6 +1,7 @@
 import { EndpointBackpressure } from '@dotterelpass/backpressure';
 import { ManualClock, makeRandom } from '@dotterelpass/values';
 import { describe, expect, it } from 'vitest';
+import { buildSignal } from './fixture.js';
 
 /** Window in which an endpoint's requests are counted. */
 const windowMs = 4000;
@@ -23,7 +24,9 @@
   }
 
   nameLimit(maxRequestsPerSecond: number): void {
-    this.#instances.forEach((instance) => instance.recordSignal({ maxRequestsPerSecond }, true));
+    this.#instances.forEach((instance) =>
+      instance.recordSignal(buildSignal({ maxRequestsPerSecond }), true),
+    );
   }
 
   /** @returns The times of the requests that are sent until `durationMs` have passed. */
@@ -119,8 +122,8 @@
       random: makeRandom(1),
       getFleetSize: () => 1,
     });
-    endpoint.recordSignal({ maxRequestsPerSecond: 3 }, true);
-    endpoint.recordSignal({ maxRequestsPerSecond: undefined }, mayEndLimit);
+    endpoint.recordSignal(buildSignal({ maxRequestsPerSecond: 3 }), true);
+    endpoint.recordSignal(buildSignal({ maxRequestsPerSecond: undefined }), mayEndLimit);
     expect(endpoint.limit).toBe(limit);
     expect(endpoint.allowsProbes).toBe(isProbed);
   });
@@ -130,17 +133,35 @@
     const options = { clock: new ManualClock(), random: makeRandom(1), getFleetSize: () => 1 };
     const endpoint = new EndpointBackpressure(options);
     const limits = [3, 3.1, 2.9, 1.5, 1.6, undefined, undefined];
-    const changes = limits.map((limit) =>
-      endpoint.recordSignal({ maxRequestsPerSecond: limit }, true),
+    const changes = limits.flatMap((limit) =>
+      endpoint.recordSignal(buildSignal({ maxRequestsPerSecond: limit }), true),
     );
-    expect(changes.map((change) => change?.kind)).toEqual([
-      'limit',
-      undefined,
-      undefined,
-      'limit',
-      undefined,
-      'limit-ended',
-      undefined,
+    expect(changes).toEqual([
+      { kind: 'limit', maxRequestsPerSecond: 3 },
+      { kind: 'limit', maxRequestsPerSecond: 1.5 },
+      { kind: 'limit-ended' },
     ]);
   });
+
+  /** Guards against requests to an endpoint that has said in an answer that it leaves. */
+  it.each([
+    { name: 'a probe', mayEndLimit: false },
+    { name: 'a call', mayEndLimit: true },
+  ])(
+    'allows nothing to an endpoint that leaves, from its answer to $name on',
+    ({ mayEndLimit }) => {
+      const options = { clock: new ManualClock(), random: makeRandom(1), getFleetSize: () => 1 };
+      const endpoint = new EndpointBackpressure(options);
+      expect(endpoint.takeRequest()).toBe(true);
+      expect(endpoint.recordSignal(buildSignal({ isLeaving: true }), mayEndLimit)).toEqual([
+        { kind: 'leaving' },
+      ]);
+      // An answer that was under way says nothing of it.
+      expect(endpoint.recordSignal(buildSignal({}), mayEndLimit)).toEqual([]);
+      options.clock.advance(60_000);
+      expect(endpoint.takeRequest()).toBe(false);
+      expect(endpoint.allowsProbes).toBe(false);
+      expect(endpoint.findNextRequestAt()).toBe(Infinity);
+    },
+  );
 });
--- a/packages/backpressure/test/table.test.ts
+++ b/packages/backpressure/test/table.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock, makeRandom } from '@dotterelpass/values';
 import type { EndpointId } from '@dotterelpass/values';
 import { describe, expect, it } from 'vitest';
+import { buildSignal } from './fixture.js';
 
 const id = 'e' as EndpointId;
 
@@ -14,7 +15,7 @@
   ])('has a limit of $limit for $name', ({ lifetime, gapMs, limit }) => {
     const clock = new ManualClock();
     const table = new BackpressureTable({ clock, random: makeRandom(1), getFleetSize: () => 1 });
-    table.getOrCreate(id, 'first').recordSignal({ maxRequestsPerSecond: 2 }, true);
+    table.getOrCreate(id, 'first').recordSignal(buildSignal({ maxRequestsPerSecond: 2 }), true);
     table.release(id);
     clock.advance(gapMs);
     table.release('other' as EndpointId);
--- a/packages/gateway/src/backpressure.ts
+++ b/packages/gateway/src/backpressure.ts
@@ -46,9 +46,10 @@
       log.warn('backpressure-malformed', { endpoint: id, service, source, header: malformed });
     }
     const mayEndLimit = source === 'call' && malformed === undefined;
-    const change = backpressure.recordSignal(signal, mayEndLimit);
-    if (!change) return;
-    metrics.recordEvent(`backpressure-${change.kind}`, service);
-    log.info('backpressure', { endpoint: id, service, source, requestId, ...change });
+    backpressure.recordSignal(signal, mayEndLimit).forEach((change) => {
+      metrics.recordEvent(`backpressure-${change.kind}`, service);
+      log.info('backpressure', { endpoint: id, service, source, requestId, ...change });
+      if (change.kind === 'leaving') endpoint.pool.closeIdle();
+    });
   }
 }
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -214,7 +214,7 @@
       isFull: this.#isFull,
       isHealthy: this.#isHealthy,
       isWarm: this.isWarm,
-      ...this.backpressure.readStatus(),
+      asksFor: this.backpressure.readStatus(),
       failureScore: this.failureScore,
       shedScore: this.shedScore,
     };
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -62,7 +62,7 @@
 
   override parseBackpressure({ headers }: ResponseHead): ParsedBackpressure {
     const limit = headers.limit === undefined ? undefined : Number(headers.limit);
-    return { signal: { maxRequestsPerSecond: limit }, malformed: undefined };
+    return { signal: { maxRequestsPerSecond: limit, isLeaving: false }, malformed: undefined };
   }
 
   override parseProbeResponse({ status }: ResponseHead): ProbeResult {
