Leave an endpoint alone for the time that its 503 names

Cause: nothing read the header; only a decaying score made a shedding endpoint less likely to be picked, and probes went on. Change: the time is kept with the limit and the leaving state, by lifetime, at most 10 minutes; the longest of several answers counts. No call, retry, hedge or probe of this instance goes there before its end. When all endpoints of a service want quiet, callers are refused at once with the time until the first takes requests, also those whose call was shed, with up to a fifth added so that they do not return together.

--- a/packages/backpressure/src/endpoint.ts
+++ b/packages/backpressure/src/endpoint.ts
@@ -13,6 +13,9 @@
  */
 const minFleetRate = 0.2;
 
+/** Longest time for which an endpoint is left alone because of one answer. */
+const maxQuietMs = 600_000;
+
 /** Factor between two limits from which on a change of the limit is reported. */
 const reportedChangeFactor = 1.5;
 
@@ -22,18 +25,23 @@
   readonly maxRequestsPerSecond: number | undefined;
   /** Whether the endpoint is about to stop. */
   readonly isLeaving: boolean;
+  /** Time for which the endpoint wants no request of this instance, in milliseconds; 0 without one. */
+  readonly quietMs: number;
 }
 
 /** A change of what is known of an endpoint. */
 export type BackpressureChange =
   | { readonly kind: 'limit'; readonly maxRequestsPerSecond: number }
   | { readonly kind: 'limit-ended' }
-  | { readonly kind: 'leaving' };
+  | { readonly kind: 'leaving' }
+  | { readonly kind: 'quiet'; readonly quietMs: number };
 
 /** What an endpoint asks for at present. */
 export interface BackpressureStatus {
   readonly maxRequestsPerSecond: number | undefined;
   readonly isLeaving: boolean;
+  /** Time for which the endpoint still gets no request, in milliseconds. */
+  readonly quietMs: number;
 }
 
 export interface BackpressureOptions {
@@ -55,6 +63,8 @@
 
   #isLeaving = false;
 
+  #quietUntil = -Infinity;
+
   constructor(options: BackpressureOptions) {
     this.#options = options;
     this.#window = new RateWindow(options.clock, options.random);
@@ -88,8 +98,9 @@
    * @returns The changes that the answer makes and that are worth a report.
    */
   recordSignal(signal: BackpressureSignal, mayEndLimit: boolean): readonly BackpressureChange[] {
-    const { maxRequestsPerSecond, isLeaving } = signal;
+    const { maxRequestsPerSecond, isLeaving, quietMs } = signal;
     const changes: BackpressureChange[] = [];
+    if (quietMs > 0) this.#extendQuiet(Math.min(maxQuietMs, quietMs), changes);
     if (isLeaving && !this.#isLeaving) {
       this.#isLeaving = true;
       changes.push({ kind: 'leaving' });
@@ -106,9 +117,9 @@
    */
   findNextRequestAt(): number {
     if (this.#isLeaving) return Infinity;
-    if (this.#limit === undefined) return -Infinity;
+    if (this.#limit === undefined) return this.#quietUntil;
     this.#updateRate();
-    return this.#window.findNextRequestAt();
+    return Math.max(this.#quietUntil, this.#window.findNextRequestAt());
   }
 
   /**
@@ -124,7 +135,15 @@
 
   /** @returns What the endpoint asks for, for operators. */
   readStatus(): BackpressureStatus {
-    return { maxRequestsPerSecond: this.#limit, isLeaving: this.#isLeaving };
+    const quietMs = Math.max(0, this.#quietUntil - this.#options.clock.now());
+    return { maxRequestsPerSecond: this.#limit, isLeaving: this.#isLeaving, quietMs };
+  }
+
+  /** Several answers may ask for quiet at once; the longest time counts, the first is reported. */
+  #extendQuiet(quietMs: number, changes: BackpressureChange[]): void {
+    const now = this.#options.clock.now();
+    if (this.#quietUntil <= now) changes.push({ kind: 'quiet', quietMs });
+    this.#quietUntil = Math.max(this.#quietUntil, now + quietMs);
   }
 
   #setLimit(limit: number | undefined, changes: BackpressureChange[]): void {
--- a/packages/backpressure/test/endpoint.test.ts
+++ b/packages/backpressure/test/endpoint.test.ts
@@ -164,4 +164,26 @@
       expect(endpoint.findNextRequestAt()).toBe(Infinity);
     },
   );
+
+  /** Guards against requests to an endpoint that wants none for some time. */
+  it.each([
+    { name: 'one answer', quiets: [4000], quietMs: 4000 },
+    { name: 'a shorter time after a longer one', quiets: [4000, 100], quietMs: 4000 },
+    { name: 'a longer time after a shorter one', quiets: [100, 4000], quietMs: 4000 },
+    { name: 'a time without end', quiets: [1e12], quietMs: 600_000 },
+    { name: 'no time', quiets: [0], quietMs: 0 },
+  ])('allows nothing for the time that an endpoint wants: $name', ({ quiets, quietMs }) => {
+    const options = { clock: new ManualClock(), random: makeRandom(1), getFleetSize: () => 1 };
+    const endpoint = new EndpointBackpressure(options);
+    const changes = quiets.flatMap((ms) =>
+      endpoint.recordSignal(buildSignal({ quietMs: ms }), true),
+    );
+    expect(changes).toHaveLength(quietMs > 0 ? 1 : 0);
+    options.clock.advance(Math.max(0, quietMs - 1));
+    expect(endpoint.takeRequest()).toBe(quietMs === 0);
+    expect(endpoint.allowsProbes).toBe(quietMs === 0);
+    options.clock.advance(1);
+    expect(endpoint.takeRequest()).toBe(true);
+    expect(endpoint.allowsProbes).toBe(true);
+  });
 });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,6 +157,7 @@
       crashes: this.#crashes,
       callerTimeouts: this.#callerTimeouts,
       recentFailures: this.#recentFailures,
+      random,
       log,
       metrics,
       latency: this.#latency,
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -3,6 +3,7 @@
 import { copyEndToEndHeaders, forwardResponseBody, readBody, refuse } from '@dotterelpass/proxy';
 import type { RequestBody, IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
+import type { Random } from '@dotterelpass/values';
 import { match } from 'ts-pattern';
 import { readAfterTurn } from './body.js';
 import { discardAnswer } from './call.js';
@@ -53,6 +54,12 @@
 /** Time between the deadline of a call and the stop, in which its response is sent. */
 const stopMarginMs = 20;
 
+/**
+ * Share of a time for which endpoints want no requests that is added at random to `Retry-After`, so
+ * that callers do not return all at once.
+ */
+const returnSpread = 0.2;
+
 /** Margin between the deadline of a call and the end of its caller's timeout. */
 const deadlineMarginMs = 10;
 
@@ -69,6 +76,7 @@
   readonly callerTimeouts: CallerTimeouts;
   readonly recentFailures: RecentFailures;
   readonly latency: LatencyEstimator;
+  readonly random: Random;
   readonly log: Logger;
   readonly metrics: Metrics;
   readCallerBounds(): CallerBounds;
@@ -280,11 +288,11 @@
     }
     const { verdict, message, reason, retryAfterMs } = result;
     if (verdict === 'not-run') {
-      const waitMs = match(reason)
+      const usualMs = match(reason)
         .with('overload', () => overloadRetryAfterMs)
         .with('shed', () => shedRetryAfterMs)
-        .with('backpressure', () => retryAfterMs ?? unreachableRetryAfterMs)
         .otherwise(() => unreachableRetryAfterMs);
+      const waitMs = retryAfterMs === undefined ? usualMs : this.#spreadReturn(retryAfterMs);
       return this.#respondWithRefusal(incoming, { status: 503, verdict, message }, reason, waitMs);
     }
     const status = match(reason)
@@ -293,6 +301,10 @@
     return this.#respondWithRefusal(incoming, { status, verdict, message }, reason);
   }
 
+  #spreadReturn(waitMs: number): number {
+    return waitMs * (1 + returnSpread * this.#options.random.next());
+  }
+
   async #respondWithUpstream(call: Call, answer: CallResponse): Promise<CallOutcome> {
     const { response: upstreamResponse, bufferedBody, finish } = answer;
     const { response } = call.incoming;
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -150,18 +150,18 @@
   }
 
   /**
-   * Finds when an endpoint may get a request that may not get one now.
+   * Finds when the first endpoint may get a request.
    *
    * @param request - The call.
-   * @returns The earliest monotonic time, in milliseconds; undefined when no endpoint of the service
-   * asks instances to wait, or not for a finite time.
+   * @returns The earliest monotonic time, in milliseconds, which may have passed; undefined when no
+   * reachable endpoint of the service takes requests any more.
    */
   findNextRequestAt({ service, tried }: PickRequest): number | undefined {
     const times = this.#options
       .listEndpoints(service)
       .filter(({ registration: { id }, isReachable }) => isReachable && !tried.includes(id))
       .map(({ backpressure }) => backpressure.findNextRequestAt())
-      .filter(Number.isFinite);
+      .filter((time) => time < Infinity);
     return times.length > 0 ? Math.min(...times) : undefined;
   }
 
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -85,7 +85,10 @@
     };
     for (;;) {
       const block = this.#findRetryBlock(call, records, worstVerdict);
-      if (block) return addRetryBlock({ ...lastFailure, verdict: worstVerdict }, block, records);
+      if (block) {
+        const failure = { ...lastFailure, verdict: worstVerdict };
+        return addRetryBlock(this.#addReturnTime(call, failure), block, records);
+      }
       const isRetry = countSent(records) > 0;
       const pick = await this.#options.admission.admitCall(call, records);
       if (call.incoming.cancellation.aborted) {
@@ -96,7 +99,7 @@
         const failure = isRetry
           ? { ...lastFailure, verdict: worstVerdict }
           : createUnsentFailure(call, pick);
-        return addRetryBlock(failure, getBlockReason(pick), records);
+        return addRetryBlock(this.#addReturnTime(call, failure), getBlockReason(pick), records);
       }
       // Another call may have taken the last request that the endpoint allows.
       if (!pick.endpoint.backpressure.takeRequest()) continue;
@@ -120,6 +123,15 @@
     }
   }
 
+  /** Adds when the caller may return, if all endpoints of the service ask instances to wait. */
+  #addReturnTime(call: Call, failure: CallFailure): CallFailure {
+    if (failure.verdict !== 'not-run') return failure;
+    const { service, route } = call;
+    const nextAt = this.#options.picker.findNextRequestAt({ service, route, tried: [] });
+    const waitMs = (nextAt ?? -Infinity) - performance.now();
+    return waitMs > 0 ? { ...failure, retryAfterMs: waitMs } : failure;
+  }
+
   async #pick(call: Call, records: readonly AttemptRecord[]): Promise<Pick | undefined> {
     return this.#options.picker.pick({
       service: call.service,
@@ -349,7 +361,6 @@
       verdict,
       reason: 'backpressure',
       message: `all endpoints of service ${service} ask callers to wait`,
-      retryAfterMs: Math.max(1, pick.notBefore - performance.now()),
     };
   }
   return pick === 'overload'
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -41,7 +41,10 @@
 
   override parseBackpressure({ headers }: ResponseHead): ParsedBackpressure {
     const limit = headers.limit === undefined ? undefined : Number(headers.limit);
-    return { signal: { maxRequestsPerSecond: limit, isLeaving: false }, malformed: undefined };
+    return {
+      signal: { maxRequestsPerSecond: limit, isLeaving: false, quietMs: 0 },
+      malformed: undefined,
+    };
   }
 
   override parseProbeResponse({ status, headers }: ResponseHead): ProbeResult {
