Do not take unreachable endpoints for ones that ask callers to wait

Cause: the time of the next request of an endpoint that asks for nothing has passed, and counted as a time to wait for. With a limit, this stood since the limit is kept; made it so for all endpoints. Change: only a time that is still to come is one to wait for. Two of the four new cases failed before: the calls waited until the test gave up.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -145,10 +145,11 @@
     return this.#options.picker.pick({ ...buildPickRequest(call, records), needsSpareCapacity });
   }
 
-  /** Finds until when the endpoints that could take a call ask instances to wait. */
+  /** Finds until when all endpoints that could take a call ask instances to wait. */
   #findBlock(call: AdmissionRequest, records: readonly AttemptRecord[]): NotBefore | undefined {
-    const notBefore = this.#options.picker.findNextRequestAt(buildPickRequest(call, records));
-    return notBefore === undefined ? undefined : { notBefore };
+    const { picker, clock } = this.#options;
+    const notBefore = picker.findNextRequestAt(buildPickRequest(call, records));
+    return notBefore !== undefined && notBefore > clock.now() ? { notBefore } : undefined;
   }
 
   /**
--- a/packages/gateway/test/admission.test.ts
+++ b/packages/gateway/test/admission.test.ts
@@ -318,4 +318,30 @@
     expect(admission.countWaiting(service)).toBe(0);
     simulation.close();
   });
+
+  /** Guards against unreachable endpoints that are taken for ones that ask callers to wait. */
+  it.each([
+    { name: 'free at any time', findTime: () => -Infinity, isHeldBack: false },
+    { name: 'free for a moment', findTime: () => clock.now() - 5, isHeldBack: false },
+    { name: 'asking for a long quiet', findTime: () => clock.now() + 60_000, isHeldBack: true },
+    { name: 'none', findTime: () => undefined, isHeldBack: false },
+  ])('finds no endpoint, the others being $name', async ({ findTime, isHeldBack }) => {
+    const picker = { pick: async () => undefined, findNextRequestAt: findTime };
+    const admission = new CallAdmission({
+      clock,
+      latency: new LatencyEstimator(),
+      picker: picker as never,
+    });
+    const admitted = await admission.admitCall(
+      {
+        service,
+        route: payment.route,
+        isUrgent: true,
+        targetDeadlineAt: clock.now() + 400,
+        incoming: { cancellation: new Cancellation() },
+      },
+      [],
+    );
+    expect(typeof admitted === 'object').toBe(isHeldBack);
+  });
 });
