Hand calls to another instance while endpoints are out of reach

Callers were turned away while other instances had room. Cause: an instance knew only its own way to the endpoints. Change: ReachMonitor judges by service whether none or few of the endpoints can be reached. CallHandover then sends calls that have not run to another instance, once only, with what is left of the deadline; with few endpoints in reach only those that would have to wait. Peers refuse what they cannot reach either, and are left alone for 0.5 s (0.05 s without room), so that calls do not go in circles when a service is down for all. A call counts for the retry budget of the instance that sends it to an endpoint.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -52,6 +52,12 @@
   readonly incoming: { readonly cancellation: Cancellation };
 }
 
+/** How a call is admitted. */
+export interface AdmissionOptions {
+  /** Whether the call may wait; otherwise it needs an endpoint with spare capacity at once. */
+  readonly mayWait: boolean;
+}
+
 export interface CallAdmissionOptions {
   readonly clock: Clock;
   readonly latency: LatencyEstimator;
@@ -88,8 +94,13 @@
    *
    * @param call - The call.
    * @param records - Its earlier attempts, whose endpoints are excluded.
+   * @param options - Whether the call may wait.
    */
-  async admitCall(call: AdmissionRequest, records: readonly AttemptRecord[]): Promise<Admission> {
+  async admitCall(
+    call: AdmissionRequest,
+    records: readonly AttemptRecord[],
+    { mayWait }: AdmissionOptions = { mayWait: true },
+  ): Promise<Admission> {
     const queue = this.#getOrCreateQueue(call.service);
     const waitingCall = this.#buildWaitingCall(call);
     if (!queue.hasPrecedence(waitingCall)) {
@@ -100,7 +111,7 @@
         if (!block || block.notBefore > waitingCall.waitUntil) return block;
       }
     }
-    return this.#waitForCapacity(call, records, queue, waitingCall);
+    return mayWait ? this.#waitForCapacity(call, records, queue, waitingCall) : 'overload';
   }
 
   async #waitForCapacity(
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -1,6 +1,13 @@
 import type { IncomingMessage } from 'node:http';
 import type { RequestBody, IncomingCall } from '@dotterelpass/proxy';
-import type { ClassName, EndpointId, RequestId, ServiceId, Verdict } from '@dotterelpass/values';
+import type {
+  ClassName,
+  EndpointId,
+  InstanceId,
+  RequestId,
+  ServiceId,
+  Verdict,
+} from '@dotterelpass/values';
 import type { Route } from './catalog.js';
 import type { AttemptEnding } from './endpoint.js';
 
@@ -18,6 +25,8 @@
   /** Whether the service also receives calls of a more urgent priority. */
   readonly isDeferrable: boolean;
   readonly body: RequestBody;
+  /** The instance that has handed the call over; undefined for a call of a caller. */
+  readonly handedOverBy: string | undefined;
   /** Monotonic time at which the target latency ends, in milliseconds. */
   readonly targetDeadlineAt: number;
   /** Monotonic time by which the caller must get its response, in milliseconds. */
@@ -38,6 +47,19 @@
   ms: number;
 }
 
+/** One hand-over to another instance, for the log. */
+export interface HandoverRecord {
+  readonly peer: InstanceId;
+  readonly outcome: string;
+  readonly ms: number;
+}
+
+/** What was tried for one call, for the log. */
+export interface CallTrace {
+  readonly attempts: AttemptRecord[];
+  readonly handovers: HandoverRecord[];
+}
+
 /** The limit that set the deadline of a call. */
 export type TimeLimit = 'route-timeout' | 'caller-timeout';
 
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -66,6 +66,14 @@
    */
   abstract parseRequestHeaders(headers: IncomingHttpHeaders): CallMetadata;
 
+  /**
+   * Builds the headers that tell another instance how long the caller waits.
+   *
+   * @param remainingMs - Time until the deadline of the call, in milliseconds.
+   * @returns Alternating names and values.
+   */
+  abstract buildTimeoutHeaders(remainingMs: number): string[];
+
   /**
    * Builds the headers that are added to the request of an attempt.
    *
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -54,6 +54,10 @@
 
   #unreachableUntil = -Infinity;
 
+  #unreachableAt = -Infinity;
+
+  #answeredAt = -Infinity;
+
   #isHealthy = true;
 
   /** Whether the last probe found that new connections wait for a slot or are reset. */
@@ -113,6 +117,16 @@
     return this.#clock.now() >= this.#unreachableUntil;
   }
 
+  /** Monotonic time at which the endpoint was last found to be unreachable, in milliseconds. */
+  get unreachableAt(): number {
+    return this.#unreachableAt;
+  }
+
+  /** Monotonic time of its last answer to a call or probe, in milliseconds. */
+  get answeredAt(): number {
+    return this.#answeredAt;
+  }
+
   /** Result of the last health probe. It may be wrong, so it weighs less than call failures. */
   get isHealthy(): boolean {
     return this.#isHealthy;
@@ -150,6 +164,7 @@
   recordReport(report: LoadReport, endedHere = 0): void {
     this.#report = { ...report, running: Math.max(0, report.running - endedHere) };
     this.#reportedAt = this.#clock.now();
+    this.#answeredAt = this.#reportedAt;
     this.#sentSinceReport = 0;
     this.#unreachableUntil = -Infinity;
     this.#isFull = false;
@@ -182,6 +197,7 @@
     this.#inFlight -= 1;
     this.#sentSinceReport = Math.max(0, this.#sentSinceReport - 1);
     if (ending === 'cancelled') return;
+    if (ending === 'answered' || ending === 'shed') this.#answeredAt = this.#clock.now();
     this.#addToScores(
       ending === 'failed' || ending === 'unreachable' ? 1 : 0,
       ending === 'shed' ? 1 : 0,
@@ -192,7 +208,8 @@
 
   /** Ejects the endpoint for a short time because it did not respond. */
   recordUnreachable(): void {
-    this.#unreachableUntil = this.#clock.now() + ejectionMs;
+    this.#unreachableAt = this.#clock.now();
+    this.#unreachableUntil = this.#unreachableAt + ejectionMs;
     this.#report = undefined;
     this.#reportedAt = -Infinity;
     this.#isFull = false;
--- a/packages/gateway/src/fleet.ts
+++ b/packages/gateway/src/fleet.ts
@@ -51,6 +51,8 @@
   /** IP address and port for connections of peers. */
   readonly address: string;
   readonly failureDomain: FailureDomain;
+  /** IP address and port for callers; undefined for an instance of an older version. */
+  readonly callerAddress?: string;
 }
 
 /** Keys of the instances, as sent from one instance to another. */
@@ -209,8 +211,9 @@
 
   #parsePeer(key: string, value: Buffer): Peer | undefined {
     try {
-      const { address, failureDomain } = JSON.parse(value.toString()) as Peer;
-      return { address, failureDomain };
+      const { address, failureDomain, callerAddress } = JSON.parse(value.toString()) as Peer;
+      const hasCallers = typeof callerAddress === 'string';
+      return { address, failureDomain, ...(hasCallers ? { callerAddress } : {}) };
     } catch (error) {
       this.#options.log.warn('instance-unreadable', { item: key, reason: String(error) });
       return undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { CallSender } from './sender.js';
 import type { Call } from './call.js';
 import { CallHandler } from './handler.js';
+import { CallHandover } from './handover.js';
 import type { PlannedStop } from './handler.js';
 import type { CallerBounds, GatewayConfig, Registration } from './catalog.js';
 import { CrashTable } from './crashes.js';
@@ -17,6 +18,7 @@
 import { EndpointPreference } from './preference.js';
 import { Prober } from './prober.js';
 import { RecentFailures } from './failures.js';
+import { ReachMonitor } from './reach.js';
 import { EndpointRegistry } from './registry.js';
 import { RouteTable } from './routes.js';
 import { LatencyEstimator } from './latency.js';
@@ -72,6 +74,10 @@
 
   readonly #prober: Prober;
 
+  readonly #reach: ReachMonitor;
+
+  readonly #handover: CallHandover;
+
   readonly #admission: CallAdmission;
 
   readonly #crashes: CrashTable;
@@ -150,10 +156,27 @@
         void this.#checkCrash(call, endpoint);
       },
     });
+    this.#reach = new ReachMonitor({
+      clock,
+      log,
+      metrics,
+      listEndpoints: (service) => this.#registry.listReady(service),
+      probeEndpoint: (endpoint) => this.#prober.probe(endpoint),
+    });
+    this.#handover = new CallHandover({
+      instance: options.instance,
+      headerCodec,
+      sender,
+      reach: this.#reach,
+      clock,
+      random,
+      metrics,
+      getConfigVersion: () => this.version,
+    });
     const handler = new CallHandler({
       headerCodec,
       routes: this.#routes,
-      sender,
+      sender: this.#handover,
       crashes: this.#crashes,
       callerTimeouts: this.#callerTimeouts,
       recentFailures: this.#recentFailures,
@@ -213,6 +236,16 @@
     });
   }
 
+  /** The services whose endpoints this instance could not reach at their last call. */
+  get servicesOutOfReach(): readonly ServiceId[] {
+    return this.#reach.listOutOfReach();
+  }
+
+  /** See {@link CallHandover.setPeers}. */
+  setPeers(addresses: ReadonlyMap<InstanceId, string>): void {
+    this.#handover.setPeers(addresses);
+  }
+
   /** @returns The log fields of a request that is among the last failures on this instance. */
   findFailure(id: string): LogFields | undefined {
     return this.#recentFailures.find(id);
@@ -274,6 +307,7 @@
 
   close(): void {
     this.#registry.close();
+    this.#handover.close();
   }
 
   /**
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -7,13 +7,14 @@
 import { match } from 'ts-pattern';
 import { readAfterTurn } from './body.js';
 import { discardAnswer } from './call.js';
-import type { CallSender } from './sender.js';
+import { parseHandover, refusalReasonHeader } from './handover.js';
+import type { CallHandover } from './handover.js';
 import type {
-  AttemptRecord,
   Call,
   CallFailure,
   CallResponse,
   CallResult,
+  CallTrace,
   RetryBlock,
   TimeLimit,
   TimeoutPhase,
@@ -60,6 +61,9 @@
  */
 const returnSpread = 0.2;
 
+/** `Retry-After` of a refusal to another instance whose configuration is newer. */
+const olderConfigRetryAfterMs = 100;
+
 /** Margin between the deadline of a call and the end of its caller's timeout. */
 const deadlineMarginMs = 10;
 
@@ -71,7 +75,7 @@
 export interface CallHandlerOptions {
   readonly headerCodec: HeaderCodec;
   readonly routes: RouteTable;
-  readonly sender: CallSender;
+  readonly sender: CallHandover;
   readonly crashes: CrashTable;
   readonly callerTimeouts: CallerTimeouts;
   readonly recentFailures: RecentFailures;
@@ -95,7 +99,7 @@
   readonly endsAt: number;
 }
 
-type CallTimes = Pick<Call, 'targetDeadlineAt' | 'deadlineAt'>;
+type CallOrigin = Pick<Call, 'targetDeadlineAt' | 'deadlineAt' | 'handedOverBy'>;
 
 /** What ended a call, for the log. */
 interface FailureCause {
@@ -117,6 +121,8 @@
   readonly patienceMs: number | undefined;
   /** Estimated time since the first attempt of the caller, in milliseconds. */
   readonly waitedMs: number;
+  /** Present when another instance has handed the call over. */
+  readonly handedOverBy?: string;
   /** Present when the deadline ended the call. */
   readonly timeLimit?: TimeLimit;
 }
@@ -150,6 +156,13 @@
       return;
     }
     const { version } = routes;
+    const handover = parseHandover(request.headers);
+    if (handover && handover.configVersion > version) {
+      const message = `configuration ${version} is older than ${handover.configVersion} of the sender`;
+      const refusal = { status: 503, verdict: 'not-run', message } as const;
+      this.#refuseEarly(incoming, refusal, olderConfigRetryAfterMs);
+      return;
+    }
     const route = routes.findRoute(target.host, target.path);
     if (!route) {
       const message = `no route matches ${target.host}${target.path}`;
@@ -169,22 +182,23 @@
     }
     const waitedMs = callerTimeouts.estimateWaitedMs(route.name, callerTimeoutMs);
     const targetDeadlineAt = startedAt + route.targetLatencyMs - waitedMs;
-    const records: AttemptRecord[] = [];
+    const trace: CallTrace = { attempts: [], handovers: [] };
     const outcome = await this.#sendThroughRoute(
       incoming,
       id,
       route,
-      { targetDeadlineAt, deadlineAt },
-      records,
+      { targetDeadlineAt, deadlineAt, handedOverBy: handover?.instance },
+      trace,
     );
     const ms = performance.now() - startedAt;
     const timing: LoggedTiming = {
       configVersion: version,
       patienceMs: callerTimeoutMs,
       waitedMs,
+      ...(handover ? { handedOverBy: handover.instance } : {}),
       ...(outcome.timedOutIn === undefined ? {} : { timeLimit }),
     };
-    this.#recordOutcome(incoming, id, route, timing, outcome, ms, records);
+    this.#recordOutcome(incoming, id, route, timing, outcome, ms, trace);
   }
 
   /**
@@ -218,8 +232,8 @@
     incoming: IncomingCall,
     id: Call['id'],
     route: Route,
-    { targetDeadlineAt, deadlineAt }: CallTimes,
-    records: AttemptRecord[],
+    { targetDeadlineAt, deadlineAt, handedOverBy }: CallOrigin,
+    trace: CallTrace,
   ): Promise<CallOutcome> {
     const { routes, sender, crashes } = this.#options;
     const { request, target } = incoming;
@@ -263,11 +277,12 @@
       isUrgent: routes.isUrgent(route, service),
       isDeferrable: routes.isDeferrable(route, service),
       body: body.value,
+      handedOverBy,
       targetDeadlineAt,
       deadlineAt,
       fingerprint,
     };
-    return this.#respondWithResult(call, await sender.sendCall(call, records));
+    return this.#respondWithResult(call, await sender.sendCall(call, trace));
   }
 
   async #respondWithResult(call: Call, result: CallResult): Promise<CallOutcome> {
@@ -281,13 +296,14 @@
     return { ...(await this.#respondWithUpstream(call, result)), retryBlock };
   }
 
-  #respondWithFailure({ incoming }: Call, result: CallFailure): CallOutcome {
+  #respondWithFailure({ incoming, handedOverBy }: Call, result: CallFailure): CallOutcome {
     if (incoming.response.destroyed || result.reason === 'cancelled') {
       incoming.response.destroy();
       return { status: 0, verdict: result.verdict, reason: 'caller-left' };
     }
     const { verdict, message, reason, retryAfterMs } = result;
     if (verdict === 'not-run') {
+      if (handedOverBy !== undefined) incoming.response.setHeader(refusalReasonHeader, reason);
       const usualMs = match(reason)
         .with('overload', () => overloadRetryAfterMs)
         .with('shed', () => shedRetryAfterMs)
@@ -373,7 +389,7 @@
     timing: LoggedTiming,
     { status, verdict, reason, timedOutIn, retryBlock }: CallOutcome,
     ms: number,
-    records: readonly AttemptRecord[],
+    { attempts, handovers }: CallTrace,
   ): void {
     const { log, metrics } = this.#options;
     const [first] = route.targets;
@@ -396,7 +412,8 @@
       ...(retryBlock === undefined ? {} : { retryBlock }),
       ms: Math.round(ms),
       ...(callsAhead > 0 ? { callsAhead } : {}),
-      attempts: records,
+      attempts,
+      ...(handovers.length > 0 ? { handovers } : {}),
     };
     if (reason === 'served') log.info('request', fields);
     else {
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -9,6 +9,7 @@
 import { StoreReplica } from './replica.js';
 import type { StoreSchema } from './replica.js';
 import { Fleet } from './fleet.js';
+import type { Peer } from './fleet.js';
 import { Gateway } from './gateway.js';
 import type { FleetLimits } from './gateway.js';
 import { OperatorServer } from './operator.js';
@@ -111,14 +112,21 @@
     this.#fleet = new Fleet({
       store,
       instance,
-      self: { address: `${ip}:${peerPort}`, failureDomain },
+      self: {
+        address: `${ip}:${peerPort}`,
+        failureDomain,
+        callerAddress: options.callerAddress,
+      },
       clock,
       random,
       log,
       onSize: (size) => gateway.setFleetSize(size),
       onChange: notifyChange,
       onBan: (fingerprint) => gateway.ban(fingerprint),
-      onPeers: (peerKey, peers) => this.#peerSync.setPeers(peerKey, peers),
+      onPeers: (peerKey, peers) => {
+        this.#peerSync.setPeers(peerKey, peers);
+        gateway.setPeers(listCallerAddresses(peers));
+      },
     });
     this.#peerSync = new PeerSync({
       instance,
@@ -249,6 +257,7 @@
       isReady: this.isReady,
       isStopping: this.#stopping,
       configVersion: this.#gateway.version,
+      outOfReach: this.#gateway.servicesOutOfReach,
       settings: settings.status,
     };
   }
@@ -267,6 +276,16 @@
   }
 }
 
+function listCallerAddresses(
+  peers: ReadonlyMap<InstanceId, Peer>,
+): ReadonlyMap<InstanceId, string> {
+  const addresses = new Map<InstanceId, string>();
+  peers.forEach(({ callerAddress }, peer) => {
+    if (callerAddress !== undefined) addresses.set(peer, callerAddress);
+  });
+  return addresses;
+}
+
 function splitAddress(address: string): [string, number] {
   const [ip = '', port = ''] = address.split(':');
   return [ip, Number(port)];
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -4,7 +4,7 @@
 import type { Metrics } from '@dotterelpass/telemetry';
 import type { Verdict } from '@dotterelpass/values';
 import { isPick } from './admission.js';
-import type { Admission, CallAdmission } from './admission.js';
+import type { Admission, AdmissionOptions, CallAdmission } from './admission.js';
 import type { BackpressureRecorder } from './backpressure.js';
 import { createCutFailure, readResponseBody } from './body.js';
 import { createCancelledFailure, combineVerdicts, discardAnswer } from './call.js';
@@ -12,6 +12,7 @@
 import type { HeaderCodec } from './codec.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
 import { calculateHedgeDelayMs, isSlowerThan, selectResult } from './hedge.js';
+import { handoverHeader } from './handover.js';
 import { hasSpareCapacity } from './picker.js';
 import type { Pick, Picker } from './picker.js';
 import type { LatencyEstimator } from './latency.js';
@@ -64,6 +65,7 @@
     this.#omittedRequestHeaders = new Set([
       ...options.headerCodec.replacedRequestHeaders,
       'content-length',
+      handoverHeader,
     ]);
   }
 
@@ -72,10 +74,15 @@
    *
    * @param call - The call.
    * @param records - Receives a record of each attempt.
+   * @param options - Whether the first attempt may wait for an endpoint with spare capacity.
    */
-  async sendCall(call: Call, records: AttemptRecord[]): Promise<CallResult> {
+  async sendCall(
+    call: Call,
+    records: AttemptRecord[],
+    { mayWait }: AdmissionOptions = { mayWait: true },
+  ): Promise<CallResult> {
     const { budget } = this.#options;
-    budget.recordCall([call.service]);
+    let isCounted = false;
     let worstVerdict: Verdict = 'not-run';
     let lastFailure: CallFailure = {
       kind: 'failed',
@@ -90,7 +97,9 @@
         return addRetryBlock(this.#addReturnTime(call, failure), block, records);
       }
       const isRetry = countSent(records) > 0;
-      const pick = await this.#options.admission.admitCall(call, records);
+      const pick = await this.#options.admission.admitCall(call, records, {
+        mayWait: mayWait || isRetry,
+      });
       if (call.incoming.cancellation.aborted) {
         const failure = { ...createCancelledFailure(), verdict: worstVerdict };
         return addRetryBlock(failure, 'caller-left', records);
@@ -103,6 +112,9 @@
       }
       // Another call may have taken the last request that the endpoint allows.
       if (!pick.endpoint.backpressure.takeRequest()) continue;
+      // A call that is handed over is counted by the instance that sends it to an endpoint.
+      if (!isCounted) budget.recordCall([call.service]);
+      isCounted = true;
       if (isRetry) this.#recordExtraAttempt(call, 'retry');
       const result = await this.#sendHedged(call, pick, records);
       if (result.kind === 'answer') {
--- a/packages/gateway/src/summary.ts
+++ b/packages/gateway/src/summary.ts
@@ -1,4 +1,4 @@
-import type { FailureDomain, InstanceId } from '@dotterelpass/values';
+import type { FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import type { SettingsStatus } from './settings.js';
 
 /** What an instance tells operators about itself, also through another instance. */
@@ -9,6 +9,8 @@
   readonly isStopping: boolean;
   /** Version of the configuration in force; -1 before the first. */
   readonly configVersion: number;
+  /** Services whose endpoints it cannot reach; undefined for an instance of an older version. */
+  readonly outOfReach?: readonly ServiceId[];
   readonly settings: SettingsStatus;
 }
 
@@ -23,7 +25,15 @@
  * @returns Lines of columns that are separated by at least two spaces.
  */
 export function formatFleet(answers: readonly FleetAnswer[]): string {
-  const header = ['INSTANCE', 'READY', 'CONFIG', 'SETTINGS', 'SINCE', 'LAST RELOAD'];
+  const header = [
+    'INSTANCE',
+    'READY',
+    'CONFIG',
+    'SETTINGS',
+    'SINCE',
+    'OUT OF REACH',
+    'LAST RELOAD',
+  ];
   const rows = [header, ...answers.map(formatAnswer)];
   const widths = header.map((_, column) =>
     Math.max(...rows.map((row) => (row[column] ?? '').length)),
@@ -38,11 +48,13 @@
 }
 
 function formatAnswer(answer: FleetAnswer): readonly string[] {
-  if ('error' in answer) return [answer.instance, '?', '?', '?', '?', answer.error];
-  const { instance, isReady, isStopping, configVersion, settings } = answer;
+  if ('error' in answer) return [answer.instance, '?', '?', '?', '?', '?', answer.error];
+  const { instance, isReady, isStopping, configVersion, outOfReach = [], settings } = answer;
   const ready = isStopping ? 'stopping' : String(isReady);
   const { digest, since, lastReload } = settings;
-  return [instance, ready, String(configVersion), digest, since, formatReload(lastReload)];
+  const unreached = outOfReach.length > 0 ? outOfReach.join(',') : '-';
+  const reload = formatReload(lastReload);
+  return [instance, ready, String(configVersion), digest, since, unreached, reload];
 }
 
 function formatReload(record: SettingsStatus['lastReload']): string {
--- a/packages/gateway/test/admission.test.ts
+++ b/packages/gateway/test/admission.test.ts
@@ -319,6 +319,29 @@
     simulation.close();
   });
 
+  /** Guards against a call that waits here although another instance could take it at once. */
+  it('does not let a call wait that another instance can take', async () => {
+    const simulation = new Simulation(1, 1);
+    const pick = await simulation.admitAtOnce();
+    const admission = new CallAdmission({
+      clock,
+      latency: new LatencyEstimator(),
+      picker: { pick: async () => pick } as never,
+    });
+    const call = {
+      service,
+      route: report.route,
+      isUrgent: false,
+      targetDeadlineAt: clock.now() + 4000,
+      incoming: { cancellation: new Cancellation() },
+    };
+    expect(await admission.admitCall(call, [], { mayWait: false })).toBe(pick);
+    if (isPick(pick)) pick.endpoint.recordFull();
+    expect(await admission.admitCall(call, [], { mayWait: false })).toBe('overload');
+    expect(admission.countWaiting(service)).toBe(0);
+    simulation.close();
+  });
+
   /** Guards against unreachable endpoints that are taken for ones that ask callers to wait. */
   it.each([
     { name: 'free at any time', findTime: () => -Infinity, isHeldBack: false },
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -38,6 +38,10 @@
     return { id: id as RequestId | undefined, timeoutMs };
   }
 
+  override buildTimeoutHeaders(): string[] {
+    return [];
+  }
+
   override buildAttemptHeaders(): string[] {
     return [];
   }
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -27,6 +27,10 @@
     return { id: undefined, timeoutMs: undefined };
   }
 
+  override buildTimeoutHeaders(): string[] {
+    return [];
+  }
+
   override buildAttemptHeaders(): string[] {
     return [];
   }
