Tell a deadline that passes in the queue for a connection from a failure

Cause: each failure before a connection counted as an unreachable endpoint. Change: it is a timeout with timedOutIn connection and the outcome no-connection, which changes nothing about the endpoint. The answer stays a 503 for a call that has not run.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -64,7 +64,8 @@
 export type TimeLimit = 'route-timeout' | 'caller-timeout';
 
 /** What a call waited for when its deadline passed. */
-export type TimeoutPhase = 'request-body' | 'earlier-calls' | 'response-head' | 'response-body';
+export type TimeoutPhase =
+  'request-body' | 'earlier-calls' | 'connection' | 'response-head' | 'response-body';
 
 /** What forbade a further attempt of a call that failed. */
 export type RetryBlock =
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -169,6 +169,7 @@
     if (incoming.cancellation.aborted) return 'caller-left';
     const sentCount = countSent(records);
     if (sentCount === 0) {
+      if (records.length > 0 && deadlineAt <= performance.now()) return 'time-left';
       return records.length > maxUnreachedAttempts ? 'endpoints-unreachable' : undefined;
     }
     if (verdict !== 'not-run' && route.repeat !== 'idempotent') return 'may-have-run';
@@ -332,6 +333,11 @@
       finish('cancelled', 'cancelled');
       return { ...createCancelledFailure(), verdict };
     }
+    if (verdict === 'not-run' && kind === 'timeout') {
+      // The deadline passed in the queue for a connection, which says nothing of the endpoint.
+      finish('no-connection', 'cancelled');
+      return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'connection', message };
+    }
     if (verdict === 'not-run') {
       finish('unreachable', 'unreachable');
       return { kind: 'failed', verdict, reason: 'no-endpoint', message };
@@ -346,9 +352,12 @@
   }
 }
 
+/** Outcomes of attempts of which no byte was sent. */
+const unsentOutcomes: ReadonlySet<string> = new Set(['unreachable', 'no-connection']);
+
 /** Counts the attempts that reached an endpoint, or may have. */
 function countSent(records: readonly AttemptRecord[]): number {
-  return records.filter(({ outcome }) => outcome !== 'unreachable').length;
+  return records.filter(({ outcome }) => !unsentOutcomes.has(outcome)).length;
 }
 
 /** Adds what forbade a further attempt, unless no attempt was made. */
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -82,6 +82,9 @@
 export class GatewayBed {
   readonly gateway: Gateway;
 
+  /** Connections that an endpoint takes from all instances, from the next `setRoute` on. */
+  maxConnections = 1000;
+
   /** Log lines of the level `info`. */
   readonly lines: { readonly event: string; readonly fields: LogFields }[] = [];
 
@@ -185,7 +188,7 @@
         version: this.#version,
         routes: [route],
         services: new Map([
-          [service, { name: service, healthPath: '/healthz', maxConnections: 1000 }],
+          [service, { name: service, healthPath: '/healthz', maxConnections: this.maxConnections }],
         ]),
         bounds: {
           maxHeaderBytes: 16 * 1024,
--- a/packages/gateway/test/failures.test.ts
+++ b/packages/gateway/test/failures.test.ts
@@ -40,6 +40,7 @@
   readonly handlers: readonly RequestListener[];
   readonly route?: Partial<Route>;
   readonly retryAllowance?: number;
+  readonly maxConnections?: number;
   readonly leavesAfterMs?: number;
   /** A field that is undefined must be missing. */
   readonly expected: Readonly<Record<string, unknown>>;
@@ -69,6 +70,7 @@
   /** Sends requests in one segment, and returns the log fields of the call `c1`. */
   async function findFields(row: FailureCase) {
     await bed.start(...row.handlers);
+    bed.maxConnections = row.maxConnections ?? bed.maxConnections;
     bed.setRoute(row.route ?? {});
     if (row.retryAllowance !== undefined) {
       bed.gateway.setLimits({
@@ -154,6 +156,24 @@
         timedOutIn: 'request-body',
       },
     },
+    {
+      name: 'connections that are all in use',
+      requests: [
+        formatGet('/1', 'timeout-ms: 3000\r\n'),
+        formatGet('/2', 'timeout-ms: 3000\r\n'),
+        formatGet('/3', `${id}timeout-ms: 400\r\n`),
+      ],
+      handlers: [ignore],
+      maxConnections: 2,
+      expected: {
+        reason: 'timeout',
+        status: 503,
+        verdict: 'not-run',
+        timeLimit: 'caller-timeout',
+        timedOutIn: 'connection',
+        attempts: [{ outcome: 'no-connection' }],
+      },
+    },
     {
       name: 'an earlier call that does not end',
       requests: [formatGet('/slow'), formatGet('/large', `${id}timeout-ms: 200\r\n`)],
