Do not take a late copy of an answer for the answer to a probe

Cause: each answer on the connection of a probe counted as its own. Change: on a used connection, an answer that names a call is none to a probe. The connection is closed and the probe sent again on a new one. The new test of the prober failed before with the load of the copy.

--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -97,6 +97,9 @@
   /** Parses what a response asks for. */
   abstract parseBackpressure(head: ResponseHead): ParsedBackpressure;
 
+  /** @returns Whether a response states which call it belongs to; one to a probe does not. */
+  abstract hasRequestId(headers: IncomingHttpHeaders): boolean;
+
   /** Parses the response to a health probe. */
   abstract parseProbeResponse(head: ResponseHead): ProbeResult;
 }
--- a/packages/gateway/src/probe.ts
+++ b/packages/gateway/src/probe.ts
@@ -1,7 +1,7 @@
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { ConnectionPool } from '@dotterelpass/proxy';
-import type { ResponseHead } from './codec.js';
+import type { HeaderCodec, ResponseHead } from './codec.js';
 
 /** Time after which the result of a probe no longer waits for the response. */
 const probeTimeoutMs = 100;
@@ -25,7 +25,10 @@
   | { readonly kind: 'waiting'; readonly answer: Promise<ResponseHead | undefined> }
   /** The endpoint has reset a new connection after accepting it, as it does when it is full. */
   | { readonly kind: 'full' }
-  /** A connection that had been idle was reset or silent, which says nothing of the endpoint. */
+  /**
+   * A connection that had been idle was reset or silent, or carried an answer to an earlier call. That
+   * says nothing of the endpoint.
+   */
   | { readonly kind: 'stale-connection' }
   /** No connection could be established. */
   | { readonly kind: 'unreachable' };
@@ -36,6 +39,7 @@
  * @param pool - Connections to the endpoint.
  * @param address - IP address and port of the endpoint.
  * @param path - Health path of its service.
+ * @param headerCodec - Tells answers to calls from the answer to the probe.
  * @returns What is known after `probeTimeoutMs` or earlier. The connection stays open while the
  * endpoint may still answer on it.
  */
@@ -43,8 +47,9 @@
   pool: ConnectionPool,
   address: string,
   path: string,
+  headerCodec: HeaderCodec,
 ): Promise<ProbeReply> {
-  const probe = new ProbeRequest(pool, address, path);
+  const probe = new ProbeRequest(pool, address, path, headerCodec);
   const head = await Promise.race([probe.answer, sleepPastPendingInput(probeTimeoutMs)]);
   if (typeof head === 'object') return { kind: 'answered', head };
   if (probe.isReused) {
@@ -61,6 +66,8 @@
 class ProbeRequest {
   readonly #pool: ConnectionPool;
 
+  readonly #headerCodec: HeaderCodec;
+
   readonly #outgoing: ClientRequest;
 
   #isAccepted = false;
@@ -68,9 +75,10 @@
   /** Status and headers after the end of the response; undefined when there is no response. */
   readonly answer: Promise<ResponseHead | undefined>;
 
-  constructor(pool: ConnectionPool, address: string, path: string) {
+  constructor(pool: ConnectionPool, address: string, path: string, headerCodec: HeaderCodec) {
     const [host = '', port = ''] = address.split(':');
     this.#pool = pool;
+    this.#headerCodec = headerCodec;
     this.#outgoing = request({ agent: pool.agent, host, port: Number(port), path });
     this.#outgoing.on('socket', (socket) => {
       if (socket.connecting) socket.once('connect', () => this.#markAccepted());
@@ -118,8 +126,14 @@
         if (informationalResponses > maxInformationalResponses) this.destroy();
       });
       outgoing.on('response', (response) => {
-        discardBody(response);
         const { statusCode: status = 0, headers } = response;
+        // The probe's own answer follows, and would reach the next request on the connection.
+        if (this.isReused && this.#headerCodec.hasRequestId(headers)) {
+          this.destroy();
+          finish();
+          return;
+        }
+        discardBody(response);
         const head = { status, headers, isReused: this.isReused };
         response.on('end', () => finish(response.complete ? head : undefined));
         response.on('close', () => finish());
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -75,14 +75,14 @@
   }
 
   async #probeEndpoint(endpoint: Endpoint, path: string): Promise<boolean> {
-    const { metrics } = this.#options;
-    const { id, service } = endpoint.registration;
-    let reply = await sendProbe(endpoint.pool, endpoint.registration.address, path);
+    const { metrics, headerCodec } = this.#options;
+    const { id, service, address } = endpoint.registration;
+    let reply = await sendProbe(endpoint.pool, address, path, headerCodec);
     if (reply.kind === 'stale-connection') {
       metrics.recordEvent('probe-stale-connection', service);
       // Whatever made this connection unusable may have affected the other idle ones, too.
       endpoint.pool.closeIdle();
-      reply = await sendProbe(endpoint.pool, endpoint.registration.address, path);
+      reply = await sendProbe(endpoint.pool, address, path, headerCodec);
     }
     if (reply.kind === 'waiting') {
       void this.#handleLateReply(endpoint, reply);
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -72,6 +72,10 @@
     };
   }
 
+  override hasRequestId({ id }: IncomingHttpHeaders): boolean {
+    return id !== undefined;
+  }
+
   override parseProbeResponse({ status }: ResponseHead): ProbeResult {
     const report = { running: 0, waiting: 0, slots, slowdown: 1 };
     return { isHealthy: status === 200, id: undefined, report };
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events';
+import type { IncomingHttpHeaders } from 'node:http';
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { Metrics, createLogger } from '@dotterelpass/telemetry';
@@ -51,6 +52,10 @@
     };
   }
 
+  override hasRequestId({ request }: IncomingHttpHeaders): boolean {
+    return request !== undefined;
+  }
+
   override parseProbeResponse({ status, headers }: ResponseHead): ProbeResult {
     const running = Number(headers.load ?? 0);
     const report = { running, waiting: 0, slots: 2, slowdown: 1 };
@@ -197,6 +202,22 @@
     expect(endpoint).toMatchObject(expected);
   });
 
+  /**
+   * Guards against a late second answer to a call that counts as the answer to a probe: its load is
+   * out of date, and the probe's own answer would reach the next call on the connection.
+   */
+  it('does not take the answer to a call for its own', async () => {
+    const copy = 'HTTP/1.1 200 OK\r\nrequest: c1\r\nload: 0\r\ncontent-length: 0\r\n\r\n';
+    const { endpoint, prober, countConnections } = await openFixture((socket, request) => {
+      socket.write(request === 1 ? copy + answer : answer);
+    });
+    await prober.probe(endpoint);
+    expect(await prober.probe(endpoint)).toBe(true);
+    expect(endpoint.load).toBe(1);
+    expect(countConnections()).toBe(2);
+    expect(sockets[0]?.destroyed).toBe(true);
+  });
+
   it('ejects an endpoint that refuses connections', async () => {
     const { endpoint, prober } = await openFixture(respond);
     servers.forEach((server) => server.close());
