Give a call up when its deadline passed in the queue for a connection

Seen: the row 'connections that are all in use' failed once in a run of all tests of the package, and in 2 of 5 runs beside 14 busy loops: the call was logged as no-endpoint after its attempt had the outcome no-connection. Cause: timers fire up to a millisecond early, so the deadline was still to come and another endpoint was looked for in vain.

--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -169,7 +169,8 @@
     if (incoming.cancellation.aborted) return 'caller-left';
     const sentCount = countSent(records);
     if (sentCount === 0) {
-      if (records.length > 0 && deadlineAt <= performance.now()) return 'time-left';
+      // Timers fire up to a millisecond early, so the deadline may still be to come.
+      if (records.at(-1)?.outcome === 'no-connection') return 'time-left';
       return records.length > maxUnreachedAttempts ? 'endpoints-unreachable' : undefined;
     }
     if (verdict !== 'not-run' && route.repeat !== 'idempotent') return 'may-have-run';
