Add what endpoints ask for, cuts and restores to the soak

Proxies tell the gateways apart by the IP address from which these connect, which a module loaded before the program sets; endpoints record the source of each request, so that the checks count for each gateway also its probes.

--- a/packages/standins/src/pipe.ts
+++ b/packages/standins/src/pipe.ts
@@ -29,6 +29,8 @@
 }
 
 interface ConnectionPair {
+  /** IP address of the caller. */
+  readonly source: string;
   readonly caller: Socket;
   readonly target: Socket;
   silenced: boolean;
@@ -47,7 +49,23 @@
 
   #faults: PipeFaults = pipeFaultSchema.parse({});
 
-  constructor(route: Route, delayMsBySource: ReadonlyMap<string, number> = new Map()) {
+  /** Faults that replace the others for the connections from one IP address. */
+  readonly #faultsBySource = new Map<string, PipeFaults>();
+
+  readonly #keepsSource: boolean;
+
+  /**
+   * @param route - Addresses of the listener and of the target.
+   * @param delayMsBySource - Additional one-way delay by source, in milliseconds.
+   * @param keepsSource - Whether connections to the target come from the IP address of the caller,
+   * which must be one of this machine.
+   */
+  constructor(
+    route: Route,
+    delayMsBySource: ReadonlyMap<string, number> = new Map(),
+    keepsSource = false,
+  ) {
+    this.#keepsSource = keepsSource;
     this.#route = route;
     this.#delayMsBySource = delayMsBySource;
     this.#server = createServer((socket) => this.#accept(socket));
@@ -82,13 +100,24 @@
    */
   setFaults(faults: PipeFaults): void {
     this.#faults = faults;
-    for (const pair of this.#pairs) {
-      if (faults.silenceOpen) pair.silenced = true;
-      if (faults.resetOpen) {
-        pair.caller.resetAndDestroy();
-        pair.target.resetAndDestroy();
-      }
+    this.#pairs.forEach((pair) => disturbOpen(pair, faults));
+  }
+
+  /**
+   * Replaces the faults of the connections from one IP address.
+   *
+   * @param source - The IP address.
+   * @param faults - The faults; undefined lets the general ones apply again.
+   */
+  setSourceFaults(source: string, faults: PipeFaults | undefined): void {
+    if (!faults) {
+      this.#faultsBySource.delete(source);
+      return;
     }
+    this.#faultsBySource.set(source, faults);
+    this.#pairs.forEach((pair) => {
+      if (pair.source === source) disturbOpen(pair, faults);
+    });
   }
 
   /** Closes the listener and all connections. */
@@ -101,36 +130,38 @@
   }
 
   #accept(caller: Socket): void {
-    if (this.#faults.refuse) {
+    const source = caller.remoteAddress ?? '';
+    if (this.#getFaults(source).refuse) {
       caller.resetAndDestroy();
       return;
     }
     const [host = '', port = ''] = this.#route.target.split(':');
-    const target = connect({ host, port: Number(port), noDelay: true });
+    const localAddress = this.#keepsSource ? source : undefined;
+    const target = connect({ host, port: Number(port), noDelay: true, localAddress });
     caller.setNoDelay(true);
-    const pair: ConnectionPair = { caller, target, silenced: false };
+    const pair: ConnectionPair = { source, caller, target, silenced: false };
     this.#pairs.add(pair);
-    const sourceDelayMs = this.#delayMsBySource.get(caller.remoteAddress ?? '') ?? 0;
+    const sourceDelayMs = this.#delayMsBySource.get(source) ?? 0;
+    const getDelayMs = () => this.#getFaults(source).delayMs + sourceDelayMs;
     let targetBytes = 0;
     const toTarget = new DelayedWriter(target);
     const toCaller = new DelayedWriter(caller);
     caller.on('data', (chunk: Buffer) => {
-      if (!this.#isSilent(pair)) toTarget.write(chunk, this.#faults.delayMs + sourceDelayMs);
+      if (!this.#isSilent(pair)) toTarget.write(chunk, getDelayMs());
     });
     target.on('data', (chunk: Buffer) => {
-      if (this.#isSilent(pair) || this.#faults.dropAnswers) return;
+      const { dropAnswers, cutAfterBytes } = this.#getFaults(source);
+      if (this.#isSilent(pair) || dropAnswers) return;
       targetBytes += chunk.length;
-      toCaller.write(chunk, this.#faults.delayMs + sourceDelayMs);
-      if (this.#faults.cutAfterBytes > 0 && targetBytes >= this.#faults.cutAfterBytes) {
-        caller.destroy();
-      }
+      toCaller.write(chunk, getDelayMs());
+      if (cutAfterBytes > 0 && targetBytes >= cutAfterBytes) caller.destroy();
     });
     const forwardClose = (from: Socket, writer: DelayedWriter) => {
       from.on('error', () => undefined);
       from.on('close', () => {
         this.#pairs.delete(pair);
         // A silent connection does not forward the close of its peer either.
-        if (!this.#isSilent(pair)) writer.end(this.#faults.delayMs + sourceDelayMs);
+        if (!this.#isSilent(pair)) writer.end(getDelayMs());
       });
     };
     forwardClose(caller, toTarget);
@@ -138,8 +169,20 @@
   }
 
   #isSilent(pair: ConnectionPair): boolean {
-    return pair.silenced || this.#faults.silent;
+    return pair.silenced || this.#getFaults(pair.source).silent;
   }
+
+  #getFaults(source: string): PipeFaults {
+    return this.#faultsBySource.get(source) ?? this.#faults;
+  }
+}
+
+/** Applies the faults that affect only the connections that are open at this moment. */
+function disturbOpen(pair: ConnectionPair, { silenceOpen, resetOpen }: PipeFaults): void {
+  if (silenceOpen) Object.assign(pair, { silenced: true });
+  if (!resetOpen) return;
+  pair.caller.resetAndDestroy();
+  pair.target.resetAndDestroy();
 }
 
 /** Node timers fire late by up to this time, so the last part of a delay is polled. */
