Show on all instances what endpoints ask for

Change: /v1/fleet has for each instance the endpoints that ask it for less, and for what; the table counts them.

--- a/packages/backpressure/src/endpoint.ts
+++ b/packages/backpressure/src/endpoint.ts
@@ -136,6 +136,13 @@
     return true;
   }
 
+  /** Whether the endpoint asks for anything at present. */
+  get isAsking(): boolean {
+    return (
+      this.#isLeaving || this.#limit !== undefined || this.#quietUntil > this.#options.clock.now()
+    );
+  }
+
   /** @returns What the endpoint asks for, for operators. */
   readStatus(): BackpressureStatus {
     const quietMs = Math.max(0, this.#quietUntil - this.#options.clock.now());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import { RecentFailures } from './failures.js';
 import { ReachMonitor } from './reach.js';
 import { EndpointRegistry } from './registry.js';
+import type { AskingEndpoint } from './summary.js';
 import { RouteTable } from './routes.js';
 import { LatencyEstimator } from './latency.js';
 
@@ -241,6 +242,11 @@
     return this.#reach.listOutOfReach();
   }
 
+  /** See {@link EndpointRegistry.listAsking}. */
+  get askingEndpoints(): readonly AskingEndpoint[] {
+    return this.#registry.listAsking();
+  }
+
   /** See {@link CallHandover.setPeers}. */
   setPeers(addresses: ReadonlyMap<InstanceId, string>): void {
     this.#handover.setPeers(addresses);
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -258,6 +258,7 @@
       isStopping: this.#stopping,
       configVersion: this.#gateway.version,
       outOfReach: this.#gateway.servicesOutOfReach,
+      asking: this.#gateway.askingEndpoints,
       settings: settings.status,
     };
   }
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -3,6 +3,7 @@
 import type { Clock, EndpointId, Random, ServiceId } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import { Endpoint } from './endpoint.js';
+import type { AskingEndpoint } from './summary.js';
 
 /** Maximum connections to an endpoint whose service is not configured yet. */
 const fallbackConnections = 8;
@@ -49,6 +50,17 @@
     return this.#endpoints.get(id);
   }
 
+  /** @returns The endpoints that ask for less than usual, and for what. */
+  listAsking(): readonly AskingEndpoint[] {
+    return [...this.#endpoints.values()]
+      .filter(({ backpressure }) => backpressure.isAsking)
+      .map(({ registration: { id, service }, backpressure }) => ({
+        endpoint: id,
+        service,
+        ...backpressure.readStatus(),
+      }));
+  }
+
   /**
    * Replaces the registrations. Adds, updates and removes endpoints accordingly.
    *
--- a/packages/gateway/src/summary.ts
+++ b/packages/gateway/src/summary.ts
@@ -1,6 +1,13 @@
-import type { FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
+import type { BackpressureStatus } from '@dotterelpass/backpressure';
+import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import type { SettingsStatus } from './settings.js';
 
+/** An endpoint that asks for less than usual, as one instance knows it. */
+export interface AskingEndpoint extends BackpressureStatus {
+  readonly endpoint: EndpointId;
+  readonly service: ServiceId;
+}
+
 /** What an instance tells operators about itself, also through another instance. */
 export interface InstanceSummary {
   readonly instance: InstanceId;
@@ -11,6 +18,8 @@
   readonly configVersion: number;
   /** Services whose endpoints it cannot reach; undefined for an instance of an older version. */
   readonly outOfReach?: readonly ServiceId[];
+  /** What endpoints ask it for; undefined for an instance of an older version. */
+  readonly asking?: readonly AskingEndpoint[];
   readonly settings: SettingsStatus;
 }
 
@@ -32,6 +41,7 @@
     'SETTINGS',
     'SINCE',
     'OUT OF REACH',
+    'ASKING',
     'LAST RELOAD',
   ];
   const rows = [header, ...answers.map(formatAnswer)];
@@ -48,13 +58,14 @@
 }
 
 function formatAnswer(answer: FleetAnswer): readonly string[] {
-  if ('error' in answer) return [answer.instance, '?', '?', '?', '?', '?', answer.error];
+  if ('error' in answer) return [answer.instance, ...Array<string>(6).fill('?'), answer.error];
   const { instance, isReady, isStopping, configVersion, outOfReach = [], settings } = answer;
+  const asking = String(answer.asking?.length ?? '?');
   const ready = isStopping ? 'stopping' : String(isReady);
   const { digest, since, lastReload } = settings;
   const unreached = outOfReach.length > 0 ? outOfReach.join(',') : '-';
   const reload = formatReload(lastReload);
-  return [instance, ready, String(configVersion), digest, since, unreached, reload];
+  return [instance, ready, String(configVersion), digest, since, unreached, asking, reload];
 }
 
 function formatReload(record: SettingsStatus['lastReload']): string {
