Move the retry policy and the records of calls to files of their own

What may be tried again is now RetryPolicy in retries.ts, and the log line and metrics of a call are CallRecorder in recorder.ts. No behaviour changes; the tests are unchanged and pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,8 @@
 import { ReachMonitor } from './reach.js';
 import { EndpointRegistry } from './registry.js';
 import type { AskingEndpoint } from './summary.js';
+import { CallRecorder } from './recorder.js';
+import { RetryPolicy } from './retries.js';
 import { RouteTable } from './routes.js';
 import { LatencyEstimator } from './latency.js';
 
@@ -151,8 +153,7 @@
       backpressure,
       picker,
       latency: this.#latency,
-      budget: this.#budget,
-      metrics,
+      retries: new RetryPolicy({ budget: this.#budget, latency: this.#latency, metrics }),
       onConnectionReset: (call, endpoint) => {
         void this.#checkCrash(call, endpoint);
       },
@@ -174,16 +175,16 @@
       metrics,
       getConfigVersion: () => this.version,
     });
+    const recentFailures = this.#recentFailures;
+    const recorder = new CallRecorder({ headerCodec, recentFailures, log, metrics });
     const handler = new CallHandler({
       headerCodec,
       routes: this.#routes,
       sender: this.#handover,
       crashes: this.#crashes,
       callerTimeouts: this.#callerTimeouts,
-      recentFailures: this.#recentFailures,
       random,
-      log,
-      metrics,
+      recorder,
       latency: this.#latency,
       getStop: () => this.#stop,
       readCallerBounds: () => this.#config?.bounds ?? initialBounds,
@@ -191,7 +192,7 @@
     this.#callers = new CallerServer(
       (call) => handler.handleCall(call),
       { idleMs: initialBounds.idleMs, headersTimeoutMs: initialBounds.headersTimeoutMs },
-      (refusal, request) => handler.recordRefusal(refusal, request),
+      (refusal, request) => recorder.recordRefusal(refusal, request),
     );
   }
 
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -1,31 +1,20 @@
 import { createHash, hash as hashOneShot } from 'node:crypto';
-import type { IncomingMessage } from 'node:http';
 import { copyEndToEndHeaders, forwardResponseBody, readBody, refuse } from '@dotterelpass/proxy';
 import type { RequestBody, IncomingCall, Refusal } from '@dotterelpass/proxy';
-import type { Logger, Metrics } from '@dotterelpass/telemetry';
 import type { Random } from '@dotterelpass/values';
 import { match } from 'ts-pattern';
 import { readAfterTurn } from './body.js';
 import { discardAnswer } from './call.js';
 import { parseHandover, refusalReasonHeader } from './handover.js';
 import type { CallHandover } from './handover.js';
-import type {
-  Call,
-  CallFailure,
-  CallResponse,
-  CallResult,
-  CallTrace,
-  RetryBlock,
-  TimeLimit,
-  TimeoutPhase,
-} from './call.js';
+import type { Call, CallFailure, CallResponse, CallResult, CallTrace } from './call.js';
 import { getCallClass } from './catalog.js';
 import type { CallerBounds, Route } from './catalog.js';
 import type { CrashTable } from './crashes.js';
 import type { HeaderCodec } from './codec.js';
 import type { CallerTimeouts } from './timeouts.js';
-import type { RecentFailures } from './failures.js';
 import type { LatencyEstimator } from './latency.js';
+import type { CallOutcome, CallRecorder, LoggedTiming } from './recorder.js';
 import type { RouteTable } from './routes.js';
 
 /** `Retry-After` of a refusal while the instance has no configuration. */
@@ -78,11 +67,9 @@
   readonly sender: CallHandover;
   readonly crashes: CrashTable;
   readonly callerTimeouts: CallerTimeouts;
-  readonly recentFailures: RecentFailures;
   readonly latency: LatencyEstimator;
   readonly random: Random;
-  readonly log: Logger;
-  readonly metrics: Metrics;
+  readonly recorder: CallRecorder;
   readCallerBounds(): CallerBounds;
   /** Returns the planned stop of this instance, if it is stopping. */
   getStop(): PlannedStop | undefined;
@@ -101,32 +88,6 @@
 
 type CallOrigin = Pick<Call, 'targetDeadlineAt' | 'deadlineAt' | 'handedOverBy'>;
 
-/** What ended a call, for the log. */
-interface FailureCause {
-  readonly timedOutIn?: TimeoutPhase | undefined;
-  readonly retryBlock?: RetryBlock | undefined;
-}
-
-/** Outcome of a call, for the log and the metrics. */
-interface CallOutcome extends FailureCause {
-  readonly status: number;
-  readonly verdict: 'not-run' | 'may-have-run' | 'ran';
-  readonly reason: string;
-}
-
-/** Properties of a call that only its log line shows. */
-interface LoggedTiming {
-  readonly configVersion: number;
-  /** The timeout that the caller states, in milliseconds. */
-  readonly patienceMs: number | undefined;
-  /** Estimated time since the first attempt of the caller, in milliseconds. */
-  readonly waitedMs: number;
-  /** Present when another instance has handed the call over. */
-  readonly handedOverBy?: string;
-  /** Present when the deadline ended the call. */
-  readonly timeLimit?: TimeLimit;
-}
-
 /** Handles the calls of callers: finds their route, sends them and writes the response. */
 export class CallHandler {
   readonly #options: CallHandlerOptions;
@@ -198,25 +159,7 @@
       ...(handover ? { handedOverBy: handover.instance } : {}),
       ...(outcome.timedOutIn === undefined ? {} : { timeLimit }),
     };
-    this.#recordOutcome(incoming, id, route, timing, outcome, ms, trace);
-  }
-
-  /**
-   * Records a request that is refused before it is sent to an endpoint. Without this record, nothing
-   * shows which rejections that callers report are this instance's own.
-   *
-   * @param refusal - The refusal.
-   * @param request - The request; undefined for input that could not be parsed.
-   */
-  recordRefusal({ status, verdict, message }: Refusal, request: IncomingMessage | undefined): void {
-    const { log, metrics, headerCodec } = this.#options;
-    metrics.recordEvent(`refused-${status}`);
-    log.info('request-failed', {
-      requestId: request && headerCodec.parseRequestHeaders(request.headers).id,
-      status,
-      verdict,
-      reason: message,
-    });
+    this.#options.recorder.recordOutcome(incoming, id, route, timing, outcome, ms, trace);
   }
 
   /** Whether a call that arrives now is answered before this instance stops. */
@@ -379,47 +322,7 @@
 
   #refuseEarly(incoming: IncomingCall, refusal: Refusal, waitMs?: number): void {
     this.#respondWithRefusal(incoming, refusal, 'early', waitMs);
-    this.recordRefusal(refusal, incoming.request);
-  }
-
-  #recordOutcome(
-    { target, callsAhead }: IncomingCall,
-    id: Call['id'],
-    route: Route,
-    timing: LoggedTiming,
-    { status, verdict, reason, timedOutIn, retryBlock }: CallOutcome,
-    ms: number,
-    { attempts, handovers }: CallTrace,
-  ): void {
-    const { log, metrics } = this.#options;
-    const [first] = route.targets;
-    metrics.recordCall({
-      service: first?.service ?? 'none',
-      tenant: target.host,
-      class: getCallClass(route),
-      seconds: ms / 1000,
-      verdict,
-      status,
-    });
-    const fields = {
-      requestId: id,
-      route: route.name,
-      ...timing,
-      status,
-      verdict,
-      reason,
-      ...(timedOutIn === undefined ? {} : { timedOutIn }),
-      ...(retryBlock === undefined ? {} : { retryBlock }),
-      ms: Math.round(ms),
-      ...(callsAhead > 0 ? { callsAhead } : {}),
-      attempts,
-      ...(handovers.length > 0 ? { handovers } : {}),
-    };
-    if (reason === 'served') log.info('request', fields);
-    else {
-      log.info('request-failed', fields);
-      if (id !== undefined) this.#options.recentFailures.add(id, fields);
-    }
+    this.#options.recorder.recordRefusal(refusal, incoming.request);
   }
 }
 
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,7 +1,5 @@
 import { copyEndToEndHeaders, isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
-import type { RetryBudget } from '@dotterelpass/retries';
-import type { Metrics } from '@dotterelpass/telemetry';
 import type { Verdict } from '@dotterelpass/values';
 import { isPick } from './admission.js';
 import type { Admission, AdmissionOptions, CallAdmission } from './admission.js';
@@ -16,15 +14,8 @@
 import { hasSpareCapacity } from './picker.js';
 import type { Pick, Picker } from './picker.js';
 import type { LatencyEstimator } from './latency.js';
-
-/**
- * Maximum attempts per call that failed to reach an endpoint. They do not count towards the
- * `maxAttempts` of the route.
- */
-const maxUnreachedAttempts = 4;
-
-/** Minimum time before the deadline for a further attempt, relative to the estimated latency. */
-const minRemainingShare = 0.8;
+import { countSent } from './retries.js';
+import type { RetryPolicy } from './retries.js';
 
 /**
  * Share of the retry budget that hedged requests may use. The rest is reserved for calls that have
@@ -32,20 +23,13 @@
  */
 const hedgeBudgetShare = 0.5;
 
-/**
- * Share of the retry budget that calls may use whose service also has more urgent ones. When an
- * endpoint fails many calls, the budget is spent at once, whatever the calls are worth.
- */
-const deferrableBudgetShare = 0.8;
-
 export interface CallSenderOptions {
   readonly headerCodec: HeaderCodec;
   readonly admission: CallAdmission;
   readonly backpressure: BackpressureRecorder;
   readonly picker: Picker;
   readonly latency: LatencyEstimator;
-  readonly budget: RetryBudget;
-  readonly metrics: Metrics;
+  readonly retries: RetryPolicy;
   /** Called when a connection was reset while the endpoint may have been running a call. */
   onConnectionReset(call: Call, endpoint: Endpoint): void;
 }
@@ -81,7 +65,7 @@
     records: AttemptRecord[],
     { mayWait }: AdmissionOptions = { mayWait: true },
   ): Promise<CallResult> {
-    const { budget } = this.#options;
+    const { retries } = this.#options;
     let isCounted = false;
     let worstVerdict: Verdict = 'not-run';
     let lastFailure: CallFailure = {
@@ -91,7 +75,7 @@
       message: '',
     };
     for (;;) {
-      const block = this.#findRetryBlock(call, records, worstVerdict);
+      const block = retries.findBlock(call, records, worstVerdict);
       if (block) {
         const failure = { ...lastFailure, verdict: worstVerdict };
         return addRetryBlock(this.#addReturnTime(call, failure), block, records);
@@ -113,15 +97,15 @@
       // Another call may have taken the last request that the endpoint allows.
       if (!pick.endpoint.backpressure.takeRequest()) continue;
       // A call that is handed over is counted by the instance that sends it to an endpoint.
-      if (!isCounted) budget.recordCall([call.service]);
+      if (!isCounted) retries.recordCall(call);
       isCounted = true;
-      if (isRetry) this.#recordExtraAttempt(call, 'retry');
+      if (isRetry) retries.recordAttempt(call, 'retry');
       const result = await this.#sendHedged(call, pick, records);
       if (result.kind === 'answer') {
         const { statusCode = 0 } = result.response;
         // A 5xx response to an idempotent call is retried; the last one is passed to the caller.
         if (statusCode < 500) return result;
-        const retryBlock = this.#findRetryBlock(call, records, 'ran');
+        const retryBlock = retries.findBlock(call, records, 'ran');
         if (retryBlock) return { ...result, retryBlock };
         discardAnswer(result, 'failed');
         lastFailure = {
@@ -152,43 +136,6 @@
     });
   }
 
-  /**
-   * Finds what forbids a further attempt.
-   *
-   * @param verdict - Verdict on the earlier attempts.
-   * @param usableShare - Share of the retry budget that the attempt may use.
-   * @returns The first obstacle; undefined when the attempt may be made.
-   */
-  #findRetryBlock(
-    call: Call,
-    records: readonly AttemptRecord[],
-    verdict: Verdict,
-    usableShare = 1,
-  ): RetryBlock | undefined {
-    const { route, incoming, body, deadlineAt, service, isDeferrable } = call;
-    if (incoming.cancellation.aborted) return 'caller-left';
-    const sentCount = countSent(records);
-    if (sentCount === 0) {
-      // Timers fire up to a millisecond early, so the deadline may still be to come.
-      if (records.at(-1)?.outcome === 'no-connection') return 'time-left';
-      return records.length > maxUnreachedAttempts ? 'endpoints-unreachable' : undefined;
-    }
-    if (verdict !== 'not-run' && route.repeat !== 'idempotent') return 'may-have-run';
-    if (body.kind === 'stream') return 'streamed-body';
-    if (sentCount >= route.maxAttempts) return 'attempts-used';
-    if (records.length - sentCount > maxUnreachedAttempts) return 'endpoints-unreachable';
-    const { budget, latency } = this.#options;
-    const remainingMs = deadlineAt - performance.now();
-    if (remainingMs < minRemainingShare * latency.estimateMs(route)) return 'time-left';
-    const budgetShare = usableShare * (isDeferrable ? deferrableBudgetShare : 1);
-    return budget.allowsExtraAttempt([service], budgetShare) ? undefined : 'retry-budget';
-  }
-
-  #recordExtraAttempt(call: Call, event: 'retry' | 'hedge'): void {
-    this.#options.budget.recordExtraAttempt([call.service]);
-    this.#options.metrics.recordEvent(event, call.service);
-  }
-
   /** Sends a call, and hedges it on a second endpoint when it is idempotent and takes long. */
   async #sendHedged(call: Call, pick: Pick, records: AttemptRecord[]): Promise<CallResult> {
     const { route, body, incoming } = call;
@@ -201,12 +148,13 @@
       route.targetLatencyMs,
     );
     if (!(await isSlowerThan(first, delayMs))) return first;
-    if (this.#findRetryBlock(call, records, 'may-have-run', hedgeBudgetShare)) return first;
+    if (this.#options.retries.findBlock(call, records, 'may-have-run', hedgeBudgetShare))
+      return first;
     const secondPick = await this.#pick(call, records);
     if (!secondPick || !hasSpareCapacity(secondPick.endpoint) || incoming.cancellation.aborted)
       return first;
     if (!secondPick.endpoint.backpressure.takeRequest()) return first;
-    this.#recordExtraAttempt(call, 'hedge');
+    this.#options.retries.recordAttempt(call, 'hedge');
     const secondCancellation = incoming.cancellation.makeChild();
     const second = this.#sendAttempt(call, secondPick, records, secondCancellation);
     return selectResult(
@@ -353,14 +301,6 @@
   }
 }
 
-/** Outcomes of attempts of which no byte was sent. */
-const unsentOutcomes: ReadonlySet<string> = new Set(['unreachable', 'no-connection']);
-
-/** Counts the attempts that reached an endpoint, or may have. */
-function countSent(records: readonly AttemptRecord[]): number {
-  return records.filter(({ outcome }) => !unsentOutcomes.has(outcome)).length;
-}
-
 /** Adds what forbade a further attempt, unless no attempt was made. */
 function addRetryBlock(
   failure: CallFailure,
