--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -366,9 +366,11 @@
 
   /**
    * Calculates the delay until the next poll. A poll is also due at the end of the grace period, to
-   * remove the registrations that are still missing.
+   * remove the registrations that are still missing. In an outage only a poll shows removals that a
+   * full snapshot has left out, however fresh the updates of other instances are.
    */
   #calculatePollDelayMs(): number {
+    if (this.#mayMissRemovals && this.#failingSince !== undefined) return 0;
     const now = this.#options.clock.now();
     const isSharedReader = now < this.#sharedReaderUntil && now >= this.#followingUntil;
     const nextAt =
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -210,6 +210,28 @@
     expect(replica.isFresh).toBe(true);
   });
 
+  /**
+   * Guards against calls to an endpoint that left during an outage in which the reader of the store was
+   * replaced (soak seed 9119): while updates of peers come in time, nothing showed that the store
+   * was back, and no update tells the removal.
+   */
+  it('does not keep the store from being listed after an outage with a full snapshot', async () => {
+    const replica = makeReplica(new RecoveringStore(performance.now() + 500), systemClock);
+    replica.mergeUpdate(makeUpdate({ items: [makeItem('e1', 5)] }, { listedAgeMs: 2000 }), 'peer');
+    replica.start();
+    await vi.waitFor(() => expect(replica.failingSince).toBeDefined());
+    replica.markFollowing();
+    replica.mergeUpdate(makeUpdate({ position: at(6), isWhole: true }), 'peer');
+    const updates = setInterval(() => {
+      replica.markFollowing();
+      replica.mergeUpdate(makeUpdate({ position: at(7) }), 'peer');
+    }, 200);
+    await vi.waitFor(() => expect(appliedIds.at(-1)).toEqual([]), 6000);
+    clearInterval(updates);
+    expect(replica.failingSince).toBeUndefined();
+    replica.stop();
+  }, 10_000);
+
   /** Guards against instances that pass on the same state to each other without a pause. */
   it.each([
     { name: 'the same state', changes: {}, ages: { listedAgeMs: 20 }, isPassedOn: false },
