--- a/packages/gateway/src/reach.ts
+++ b/packages/gateway/src/reach.ts
@@ -5,10 +5,10 @@
 /** Unreachable endpoints from which on a service may be out of reach, unless it has fewer. */
 const minUnreachable = 3;
 
-/** Share of the endpoints tried lately from which on unreachable ones make a service partly reached. */
+/** Share of the endpoints tried lately that must be unreachable before few count as in reach. */
 const partialShare = 0.5;
 
-/** Time for which a result of an endpoint counts as late news, in milliseconds. */
+/** Time for which the last result of an endpoint counts as recent, in milliseconds. */
 const recentMs = 2000;
 
 /** Time between two probes or trial calls of a service that is out of reach. */
