Wait for the log line of a revision before it is compared

Cause: an instance answers that it is ready at once, but writes its log lines up to 500 ms later. With digests of peers slowed to 1.2 s the test fails in the same way ('one by one'), and passes with this change. Change: the test waits until the revision is in the log, and then compares all revisions as before.

--- a/packages/bench/test/membership.test.ts
+++ b/packages/bench/test/membership.test.ts
@@ -78,6 +78,8 @@
       await Promise.all(group.map((n) => fleet.restart(getEntry(n), 'SIGKILL')));
       await fleet.waitUntilReady(fleet.entries);
       await fleet.waitForLive(fleet.entries, 5);
+      // An instance is ready up to 500 ms before its buffered log lines are written.
+      await fleet.waitForRevision(group.map(getEntry), 3);
       group.forEach((n) => expect(listRevisions(getEntry(n))).toEqual([3]));
     }
   });
