--- a/review/standins/main.js
+++ b/review/standins/main.js
@@ -17,6 +17,12 @@
 export async function runCase(scriptUrl, play) {
   const record = new Record();
   let deployment;
+  // A script that is stopped from outside ends what it has started, too.
+  ['SIGINT', 'SIGTERM'].forEach((signal) => {
+    process.once(signal, () => {
+      void Promise.resolve(deployment?.close()).then(() => process.exit(couldNotRun));
+    });
+  });
   let exitCode = couldNotRun;
   try {
     deployment = await Deployment.open();
--- a/review/standins/quispe.js
+++ b/review/standins/quispe.js
@@ -4,19 +4,32 @@
 /** Zones of the five machines of the site quispe-arbitrios. */
 export const machineZones = ['cercado', 'cercado', 'yanahuara', 'cayma', 'paucarpata'];
 
-const zones = ['cercado', 'yanahuara', 'cayma', 'paucarpata'];
-
 export const hosts = {
   status: 'status.example',
   lodge: 'lodge.example',
   pay: 'pay.example',
 };
 
-/** Workers and mean work, in milliseconds, of the services. */
+/** Number of workers in each zone, and mean work, in milliseconds, of the services. */
 const services = [
-  { service: 'consulta', count: 16, workMs: 51, bytes: 400 },
-  { service: 'expediente', count: 8, workMs: 66, bytes: 1500 },
-  { service: 'tesoreria', count: 8, workMs: 36, bytes: 1500 },
+  {
+    service: 'consulta',
+    counts: { cercado: 5, yanahuara: 5, cayma: 3, paucarpata: 3 },
+    workMs: 51,
+    bytes: 400,
+  },
+  {
+    service: 'expediente',
+    counts: { cercado: 2, yanahuara: 2, cayma: 3, paucarpata: 1 },
+    workMs: 66,
+    bytes: 1500,
+  },
+  {
+    service: 'tesoreria',
+    counts: { cercado: 2, yanahuara: 2, cayma: 2, paucarpata: 2 },
+    workMs: 36,
+    bytes: 1500,
+  },
 ];
 
 export const routes = [
@@ -57,11 +70,12 @@
 
 /** Starts the workers of the site; `override` changes their options. */
 export async function addWorkers(deployment, override = () => ({})) {
-  for (const { service, count, workMs, bytes } of services) {
-    for (let index = 0; index < count; index++) {
+  for (const { service, counts, workMs, bytes } of services) {
+    const zones = Object.entries(counts).flatMap(([zone, count]) => new Array(count).fill(zone));
+    for (const [index, zone] of zones.entries()) {
       await deployment.addWorker({
         service,
-        zone: zones[index % zones.length],
+        zone,
         pickWorkMs: () => pickWork(workMs),
         pickBytes: () => bytes,
         ...override(service, index),
@@ -70,8 +84,18 @@
   }
 }
 
-/** Creates the site's traffic, scaled by a factor. */
-export function createTraffic(deployment, factor = 1) {
+/**
+ * Creates the site's traffic, scaled by a factor.
+ *
+ * @param {object} deployment
+ * @param {number} factor
+ * @param {object} options - How often requests are sent again, and the path of a lookup.
+ */
+export function createTraffic(
+  deployment,
+  factor = 1,
+  { retries = 0, makeLookupPath = (count) => `/status/${count.toString(16)}` } = {},
+) {
   const kinds = [
     {
       kind: 'status',
@@ -80,7 +104,7 @@
       make: (count) => ({
         method: 'GET',
         host: hosts.status,
-        path: `/status/${count.toString(16)}`,
+        path: makeLookupPath(count),
         deadlineMs: 1200,
       }),
     },
@@ -109,5 +133,7 @@
       }),
     },
   ];
-  return kinds.map((spec) => new Traffic(deployment, { ...spec, perS: spec.perS * factor }));
+  return kinds.map(
+    (spec) => new Traffic(deployment, { ...spec, retries, perS: spec.perS * factor }),
+  );
 }
--- a/review/standins/traffic.js
+++ b/review/standins/traffic.js
@@ -1,3 +1,4 @@
+import { performance } from 'node:perf_hooks';
 import { clearTimeout, setTimeout } from 'node:timers';
 import { Channel } from './requester.js';
 
@@ -26,7 +27,7 @@
 
   /**
    * @param {object} deployment
-   * @param {object} spec - `kind`, `perS`, `habit`, and `make`, which returns a request.
+   * @param {object} spec - `kind`, `perS`, `habit`, `make`, which returns a request, and `retries`.
    */
   constructor(deployment, spec) {
     this.#deployment = deployment;
@@ -54,14 +55,24 @@
     }, delayMs);
   }
 
+  /** Sends a request, and again after a failure, within its deadline and on a new channel. */
   async #send() {
-    const { habit, kind, make } = this.#spec;
+    const { habit, kind, make, retries = 0 } = this.#spec;
     this.#count += 1;
-    const channel = this.#takeIdle() ?? this.#open();
-    const attempt = await channel.send({ kind, ...make(this.#count) });
-    this.#deployment.attempts.push(attempt);
-    if (habit === 'pool' && channel.isOpen) this.#idle.push(channel);
-    else channel.close();
+    const request = make(this.#count);
+    const endAt = performance.now() + request.deadlineMs;
+    let channel = this.#takeIdle() ?? this.#open();
+    for (let retry = 0; ; retry++) {
+      const leftMs = Math.floor(endAt - performance.now());
+      if (leftMs <= 0) return;
+      const attempt = await channel.send({ kind, ...request, deadlineMs: leftMs });
+      this.#deployment.attempts.push(attempt);
+      if (habit === 'pool' && channel.isOpen) this.#idle.push(channel);
+      else channel.close();
+      if (retry === retries || !mayRepeat(request, attempt)) return;
+      await sleepMs(pickReturnMs(attempt, endAt));
+      channel = this.#open();
+    }
   }
 
   #open() {
@@ -75,3 +86,27 @@
     return this.#idle.splice(index, 1)[0];
   }
 }
+
+/** Statuses that promise that a request has not run. */
+const promises = new Set([408, 421, 429, 503]);
+
+/** Statuses after which no request is sent again. */
+const finalStatuses = new Set([400, 401, 404, 413, 431]);
+
+/** Safe requests are sent again after any failure, others only after a promise. */
+function mayRepeat({ method }, { status, end }) {
+  if (end === 'answered' && (status < 300 || finalStatuses.has(status))) return false;
+  return method === 'GET' || (end === 'answered' && promises.has(status));
+}
+
+/** `Retry-After` is honoured up to a third of the time that is left. */
+function pickReturnMs({ retryAfterS }, endAt) {
+  const thirdMs = (endAt - performance.now()) / 3;
+  return Math.max(0, Math.min(thirdMs, retryAfterS > 0 ? retryAfterS * 1000 : 0));
+}
+
+async function sleepMs(ms) {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/review/standins/worker.js
+++ b/review/standins/worker.js
@@ -65,6 +65,10 @@
     };
   }
 
+  get zone() {
+    return this.#options.zone;
+  }
+
   get address() {
     return this.#address;
   }
