--- a/review/1/run.js
+++ b/review/1/run.js
@@ -6,28 +6,32 @@
 import { Channel } from '../standins/requester.js';
 
 /** Requesters, each with one kept channel. */
-const officeCount = 30;
+const officeCount = 50;
 
-const callsPerFiling = 12;
+const callsPerFiling = 6;
 
 /** A filing with three scanned pages of 40 KB, which are sent one after the other. */
 const filingBytes = 120_000;
-
 const uploadMs = 180;
 
-/** Share of the filing service's workers, and share of their requests, that are rejected early. */
+/** `garble` with `early`: share of the workers, share of their requests, and length. */
 const workerShare = 0.5;
-const earlyShare = 0.03;
+const earlyShare = 0.02;
+const garbleMs = 5000;
+
+const garbleCount = 5;
+const pauseMs = 4000;
 
-const playMs = 60_000;
+const warmUpMs = 3000;
 
 /** LOST allows three requests, at any time, that are passed on from a kept channel and cut. */
 const allowed = 3;
 
 async function play(deployment, record) {
   const early = new Set();
+  let isGarbling = false;
   const rejectsEarly = ({ url, headers }) => {
-    if (!hasTrouble || url === '/healthz' || Math.random() >= earlyShare) return false;
+    if (!isGarbling || url === '/healthz' || Math.random() >= earlyShare) return false;
     early.add(headers['attempt-id']);
     return true;
   };
@@ -36,10 +40,17 @@
     service === 'expediente' && index < 8 * workerShare ? { rejectsEarly } : {},
   );
   await deployment.startMachines(machineZones);
-  const endAt = performance.now() + playMs;
+  const endAt = performance.now() + warmUpMs + garbleCount * (garbleMs + pauseMs);
   const offices = Array.from({ length: officeCount }, (_, index) =>
     playOffice(deployment, index, endAt),
   );
+  await sleep(warmUpMs);
+  for (let index = 0; index < garbleCount; index++) {
+    isGarbling = hasTrouble;
+    await sleep(garbleMs);
+    isGarbling = false;
+    await sleep(pauseMs);
+  }
   await Promise.all(offices);
   await sleep(500);
   early.forEach((id) => record.addNow(`rejected before it was in: ${id}`));
