--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -258,6 +258,9 @@
 
   #lastHost = 10;
 
+  /** A loopback network of its own, so that scripts may run side by side. */
+  #network = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`;
+
   static async open() {
     const deployment = new Deployment();
     if (!existsSync(join(root, 'target/gateway.cjs'))) {
@@ -319,7 +322,7 @@
       const machine = new Machine({
         name: `edge-${zone}-${count + 1}`,
         zone,
-        ip: `127.0.1.${this.#lastHost}`,
+        ip: `${this.#network}.${this.#lastHost}`,
         ports: this.#ports,
         directory: this.#directory,
         deploy: this.#deploy,
@@ -341,7 +344,12 @@
     for (;;) {
       const ready = await Promise.all(this.machines.map((machine) => machine.checkReadiness()));
       if (ready.every(Boolean)) return;
-      if (performance.now() > endAt) throw new Error('the machines are not ready in time');
+      if (performance.now() > endAt) {
+        const states = this.machines.map(({ name, unexpectedExits: exits }, index) =>
+          [name, ready[index] ? 'ready' : 'not ready', ...exits].join(' '),
+        );
+        throw new Error(`the machines are not ready in time: ${states.join(', ')}`);
+      }
       await sleep(100);
     }
   }
