--- a/review/standins/worker.js
+++ b/review/standins/worker.js
@@ -1,6 +1,6 @@
 import { Buffer } from 'node:buffer';
 import { performance } from 'node:perf_hooks';
-import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
+import { clearInterval, clearTimeout, setImmediate, setInterval, setTimeout } from 'node:timers';
 import { createServer } from 'node:http';
 
 /** Requests that a worker takes beyond its slots. */
@@ -8,6 +8,9 @@
 
 const heartbeatMs = 1500;
 
+/** Chunks of an answer without end that are written at a time. */
+const chunksAtOnce = 8000;
+
 /** Time after which a worker that has rejected a long request early reads on. */
 const readOnMs = 50;
 
@@ -55,11 +58,13 @@
    * @param {Function} options.crashes - Whether a request crashes the worker.
    * @param {Function} options.rejectsEarly - Whether the worker rejects a request before it has read
    * the body; it keeps the channel and reads on later.
+   * @param {Function} options.answersEndlessly - Whether the body of the answer has no end.
    */
   constructor(options) {
     this.#options = {
       crashes: () => false,
       rejectsEarly: () => false,
+      answersEndlessly: () => false,
       pickBytes: () => 400,
       ...options,
     };
@@ -160,7 +165,8 @@
       response.writeHead(200, common).end();
       return;
     }
-    const { slots, onRun, crashes, pickWorkMs, pickBytes, rejectsEarly } = this.#options;
+    const { slots, onRun, crashes, pickWorkMs, pickBytes, rejectsEarly, answersEndlessly } =
+      this.#options;
     if (attempt !== undefined && rejectsEarly(request)) {
       this.#rejectEarly(request, response, common);
       return;
@@ -207,6 +213,10 @@
     this.#release(id);
     run.endedAt = performance.now();
     if (response.destroyed || id !== this.id) return;
+    if (answersEndlessly(run)) {
+      this.#answerEndlessly(response, { ...common, 'Upstream-Signature': `${id}.${attempt}` });
+      return;
+    }
     const body = Buffer.alloc(pickBytes(run), id);
     response
       .writeHead(200, {
@@ -228,6 +238,18 @@
     setTimeout(() => request.resume(), readOnMs);
   }
 
+  /** Sends one byte in a chunk, again and again, until the caller closes the channel. */
+  #answerEndlessly(response, headers) {
+    response.writeHead(200, headers);
+    response.flushHeaders();
+    const { socket } = response;
+    const bytes = Buffer.from('1\r\nx\r\n'.repeat(chunksAtOnce));
+    const write = () => {
+      if (!socket.destroyed) socket.write(bytes, () => setImmediate(write));
+    };
+    write();
+  }
+
   /** Works until the time is over or the channel closes. */
   async #work(response, ms) {
     await new Promise((resolve) => {
