--- a/review/1/run.js
+++ b/review/1/run.js
@@ -20,14 +20,17 @@
 /** Workers of the filing service that get into trouble: half of eight. */
 const spoiledZones = ['cercado', 'yanahuara', 'cayma', 'paucarpata'];
 
-/** Share of their answers that have no end, as of those that `garble` spoils, and how long. */
-const endlessShare = 0.02;
+/** Share of their answers that have no end, and how long: the largest dose of `garble`. */
+const endlessShare = 0.05;
 const garbleMs = 5000;
 const pauseMs = 3000;
-const garbleCount = 9;
+const garbleCount = 6;
 
 const filingsPerS = 60;
-const officeCount = 40;
+const officeCount = 50;
+
+/** One call in so many of a requester pays a fee, the others look up a claim. */
+const callsPerPayment = 4;
 
 const restartMs = 300;
 
@@ -103,7 +106,7 @@
   return child;
 }
 
-/** Looks up claims and pays fees by turns, always on the same channel while it is open. */
+/** Looks up claims and pays some fees, always on the same channel while it is open. */
 async function playOffice(deployment, index, state) {
   let channel;
   for (let call = 0; !state.isOver; call++) {
@@ -117,7 +120,7 @@
 }
 
 function makeCall(call, name) {
-  if (call % 2 === 0) {
+  if (call % callsPerPayment > 0) {
     const { deadlineMs } = grown.status;
     return { kind: 'status', host: hosts.status, path: `/status/${name}`, deadlineMs };
   }
