--- /dev/null
+++ b/packages/fairness/src/index.ts
@@ -0,0 +1,1 @@
+export * from './order.js';
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -8,6 +8,7 @@
   ServiceId,
   Verdict,
 } from '@dotterelpass/values';
+import type { Workspace } from '@dotterelpass/workspaces';
 import type { Route } from './catalog.js';
 import type { AttemptEnding } from './endpoint.js';
 
@@ -20,6 +21,8 @@
   readonly route: Route;
   readonly service: ServiceId;
   readonly className: ClassName;
+  /** Undefined when the configuration asks for no keys, and on public routes without a key. */
+  readonly workspace?: Workspace | undefined;
   /** Whether the service also receives calls of a less urgent priority. */
   readonly isUrgent: boolean;
   /** Whether the service also receives calls of a more urgent priority. */
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -1,3 +1,4 @@
+import type { Workspace } from '@dotterelpass/workspaces';
 import type {
   Branded,
   ClassName,
@@ -31,6 +32,8 @@
   readonly maxAttempts: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether requests need no key. */
+  readonly isPublic?: boolean;
 }
 
 /** Settings of a service. */
@@ -39,6 +42,8 @@
   readonly healthPath: string;
   /** Maximum connections to one endpoint from all instances together. */
   readonly maxConnections: number;
+  /** Requests a second that a cold endpoint takes from all instances; undefined without a limit. */
+  readonly warmupRatePerSecond?: number | undefined;
 }
 
 /** Limits on requests and connections of callers. */
@@ -55,6 +60,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceId, ServiceSpec>;
   readonly bounds: CallerBounds;
+  /** Workspaces by key; undefined when the configuration asks for no keys. */
+  readonly workspaces?: ReadonlyMap<string, Workspace> | undefined;
 }
 
 /** Registration of an endpoint. */
--- /dev/null
+++ b/packages/quota/src/index.ts
@@ -0,0 +1,1 @@
+export * from './limiter.js';
--- a/packages/values/src/ids.ts
+++ b/packages/values/src/ids.ts
@@ -9,6 +9,10 @@
 /** One run of a process, of an instance or an endpoint. */
 export type Incarnation = Branded<'incarnation'>;
 export type TenantId = Branded<'tenant'>;
+/** Name of a workspace: the customers whose callers share keys, a quota and a priority. */
+export type WorkspaceId = Branded<'workspace'>;
+/** Name of a rate limit that all instances share. */
+export type LimitKey = Branded<'limit'>;
 export type RequestId = Branded<'request'>;
 export type CommandId = Branded<'command'>;
 export type FailureDomain = Branded<'failure-domain'>;
--- /dev/null
+++ b/packages/workspaces/src/index.ts
@@ -0,0 +1,1 @@
+export * from './workspace.js';
