Find the workspace of a request by its key

The package held only the type of a workspace. It now has the table that one configuration defines, which keeps digests in place of keys, and the decision whether a request is identified, anonymous or rejected. A key in two workspaces is an error that names the workspaces and not the key.

--- a/packages/workspaces/src/index.ts
+++ b/packages/workspaces/src/index.ts
@@ -1,1 +1,3 @@
+export * from './identification.js';
+export * from './table.js';
 export * from './workspace.js';
