Let a streamed body leave out named trailers

An endpoint may take a trailer for a header, so a header that is not forwarded must not come in as a trailer either. Without names, the trailers are forwarded as before.

--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -25,6 +25,8 @@
   readonly length: number | undefined;
   /** Size limit of the whole body. */
   readonly maxBytes: number;
+  /** Lower-case names of trailers that are not forwarded. */
+  readonly omittedTrailers?: ReadonlySet<string> | undefined;
 }
 
 /** Error of a request body that cannot be forwarded because of the caller. */
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -32,6 +32,8 @@
   'x-request-outcome',
 ]);
 
+const noNames: ReadonlySet<string> = new Set();
+
 const requestIdPattern = /^[A-Za-z0-9][A-Za-z0-9_.:-]{0,127}$/;
 
 /**
@@ -57,13 +59,18 @@
  * Copies the trailers that may be forwarded.
  *
  * @param trailers - Trailers as received.
+ * @param excluded - Lower-case names of further trailers to leave out.
  * @returns Pairs of name and value.
  */
-export function copyTrailers(trailers: HeaderList): [string, string][] {
+export function copyTrailers(
+  trailers: HeaderList,
+  excluded: ReadonlySet<string> = noNames,
+): [string, string][] {
   const list = copyEndToEndHeaders(trailers, forbiddenTrailers);
   const pairs: [string, string][] = [];
   for (let index = 0; index < list.length; index += 2) {
-    pairs.push([list[index] as string, list[index + 1] as string]);
+    const name = list[index] as string;
+    if (!excluded.has(name.toLowerCase())) pairs.push([name, list[index + 1] as string]);
   }
   return pairs;
 }
--- a/packages/proxy/src/upload.ts
+++ b/packages/proxy/src/upload.ts
@@ -80,7 +80,7 @@
   readonly #handleEnd = () => {
     this.#hasEnded = true;
     this.#stop();
-    const trailers = copyTrailers(this.#rest.rawTrailers);
+    const trailers = copyTrailers(this.#rest.rawTrailers, this.#body.omittedTrailers);
     if (trailers.length > 0) this.#outgoing.addTrailers(trailers);
     this.#outgoing.end();
   };
