Identify the workspace of each call, and sign the marks of handed-over calls

Callers with keys were not told apart. A configuration with tenants is now decoded into a table of workspaces, and each call needs the key of one unless its route is public: a call without one gets 401 with the verdict not-run. Endpoints get the name of the workspace in place of the key, in all attempts. The priority of the workspace goes before that of the route. Without tenants, nothing changes.

The mark of a handed-over call carries the workspace and an HMAC with the peer key. Without a valid one it is ignored where keys are asked for, since a caller may have made it. The mark has a file of its own: sender.ts no longer imports handover.ts, which imports it.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,8 +1,10 @@
 import type { Cancellation } from '@dotterelpass/proxy';
 import type { Clock, ServiceId } from '@dotterelpass/values';
+import type { Workspace } from '@dotterelpass/workspaces';
 import type { AttemptRecord } from './call.js';
 import { CapacityQueue } from './capacity.js';
 import type { WaitingCall } from './capacity.js';
+import { getCallPriority } from './catalog.js';
 import type { Route } from './catalog.js';
 import type { LatencyEstimator } from './latency.js';
 import { busyFactor, hasSpareCapacity } from './picker.js';
@@ -46,6 +48,7 @@
 export interface AdmissionRequest {
   readonly service: ServiceId;
   readonly route: Route;
+  readonly workspace?: Workspace | undefined;
   readonly isUrgent: boolean;
   /** Monotonic time at which the target latency ends, in milliseconds. */
   readonly targetDeadlineAt: number;
@@ -188,14 +191,15 @@
     return this.#options.clock.now() + expectedMs <= call.targetDeadlineAt;
   }
 
-  #buildWaitingCall({ route, service, targetDeadlineAt }: AdmissionRequest): WaitingCall {
+  #buildWaitingCall(call: AdmissionRequest): WaitingCall {
+    const { route, service, targetDeadlineAt } = call;
     const { clock, latency } = this.#options;
     const now = clock.now();
     const busyMs = latency.estimateMs(route) * latency.getSlowdown(service) * busyFactor;
     const latestStartAt = targetDeadlineAt - latestStartFactor * busyMs;
     const isLate = latestStartAt <= now;
     const waitUntil = isLate ? now + lateWaitShare * route.targetLatencyMs : latestStartAt;
-    return { priority: route.priority, isLate, waitUntil };
+    return { priority: getCallPriority(call), isLate, waitUntil };
   }
 
   #calculatePollIntervalMs({ route }: AdmissionRequest): number {
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -23,6 +23,8 @@
   readonly className: ClassName;
   /** Undefined when the configuration asks for no keys, and on public routes without a key. */
   readonly workspace?: Workspace | undefined;
+  /** Whether the configuration asks for keys, which are then not sent on. */
+  readonly hidesCredentials?: boolean;
   /** Whether the service also receives calls of a less urgent priority. */
   readonly isUrgent: boolean;
   /** Whether the service also receives calls of a more urgent priority. */
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -2,7 +2,7 @@
 
 /** A call that waits for an endpoint with spare capacity. */
 export interface WaitingCall {
-  /** Rank of the call's route; 0 is the most urgent. */
+  /** 0 is the most urgent. */
   readonly priority: number;
   /** Whether the call can no longer be answered within its target latency. */
   readonly isLate: boolean;
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -1,4 +1,4 @@
-import type { Workspace } from '@dotterelpass/workspaces';
+import type { Workspace, WorkspaceTable } from '@dotterelpass/workspaces';
 import type {
   Branded,
   ClassName,
@@ -60,8 +60,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceId, ServiceSpec>;
   readonly bounds: CallerBounds;
-  /** Workspaces by key; undefined when the configuration asks for no keys. */
-  readonly workspaces?: ReadonlyMap<string, Workspace> | undefined;
+  /** Undefined when the configuration asks for no keys. */
+  readonly workspaces?: WorkspaceTable | undefined;
 }
 
 /** Registration of an endpoint. */
@@ -79,7 +79,18 @@
   readonly warmupMs: number;
 }
 
-/** Returns the class of a route's calls: routes of equal repeat mode and priority share one. */
-export function getCallClass({ repeat, priority }: Route): ClassName {
-  return `${repeat}-${priority}` as ClassName;
+/** The parts of a call that determine its class. */
+export interface ClassifiedCall {
+  readonly route: Pick<Route, 'repeat' | 'priority'>;
+  readonly workspace?: Workspace | undefined;
+}
+
+/** Returns the priority of a call; that of its workspace goes before that of its route. */
+export function getCallPriority({ route, workspace }: ClassifiedCall): number {
+  return workspace?.priority ?? route.priority;
+}
+
+/** Returns the class of a call: calls of equal repeat mode and priority share one. */
+export function getCallClass(call: ClassifiedCall): ClassName {
+  return `${call.route.repeat}-${getCallPriority(call)}` as ClassName;
 }
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { BackpressureSignal } from '@dotterelpass/backpressure';
-import type { EndpointId, RequestId } from '@dotterelpass/values';
+import type { EndpointId, RequestId, WorkspaceId } from '@dotterelpass/values';
+import type { Credential } from '@dotterelpass/workspaces';
 
 /** Load of an endpoint, as reported by itself. */
 export interface LoadReport {
@@ -56,6 +57,15 @@
   /** Lower-case names of the request headers that `buildAttemptHeaders` replaces. */
   abstract readonly replacedRequestHeaders: ReadonlySet<string>;
 
+  /**
+   * Lower-case names of the request headers with a caller's key or workspace. Endpoints do not get
+   * them from callers when the configuration has workspaces.
+   */
+  abstract readonly credentialHeaders: ReadonlySet<string>;
+
+  /** Value of `WWW-Authenticate` in the refusal of a request without a valid key. */
+  abstract readonly challenge: string;
+
   /** Lower-case names of the response headers that are not passed to callers. */
   abstract readonly internalResponseHeaders: ReadonlySet<string>;
 
@@ -66,6 +76,16 @@
    */
   abstract parseRequestHeaders(headers: IncomingHttpHeaders): CallMetadata;
 
+  /** Parses the key that a caller states. */
+  abstract parseCredential(headers: IncomingHttpHeaders): Credential;
+
+  /**
+   * Builds the headers that tell an endpoint the workspace of a call.
+   *
+   * @returns Alternating names and values.
+   */
+  abstract buildWorkspaceHeaders(workspace: WorkspaceId): string[];
+
   /**
    * Builds the headers that tell another instance how long the caller waits.
    *
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,8 @@
 import type { Call } from './call.js';
 import { CallHandler } from './handler.js';
 import { CallHandover } from './handover.js';
+import { CallerIdentifier } from './identity.js';
+import { MarkSigner } from './mark.js';
 import type { PlannedStop } from './handler.js';
 import type { CallerBounds, GatewayConfig, Registration } from './catalog.js';
 import { CrashTable, getIncarnation } from './crashes.js';
@@ -90,6 +92,8 @@
 
   readonly #handover: CallHandover;
 
+  readonly #markSigner = new MarkSigner();
+
   readonly #admission: CallAdmission;
 
   readonly #crashes: CrashTable;
@@ -178,6 +182,7 @@
       instance: options.instance,
       headerCodec,
       sender,
+      signer: this.#markSigner,
       reach: this.#reach,
       clock,
       random,
@@ -190,6 +195,12 @@
       headerCodec,
       routes: this.#routes,
       sender: this.#handover,
+      identifier: new CallerIdentifier({
+        headerCodec,
+        signer: this.#markSigner,
+        metrics,
+        getWorkspaces: () => this.#config?.workspaces,
+      }),
       crashes: this.#crashes,
       callerTimeouts: this.#callerTimeouts,
       random,
@@ -241,13 +252,14 @@
     const names = new Set(config.routes.map(({ name }) => name));
     this.#callerTimeouts.retainRoutes(names);
     this.#latency.retainRoutes(names);
-    const { version, routes, services } = config;
+    const { version, routes, services, workspaces } = config;
     this.#options.log.info('configuration-in-force', {
       version,
       before: previousVersion,
       source,
       routes: routes.length,
       services: services.size,
+      ...(workspaces ? { workspaces: workspaces.size } : {}),
     });
   }
 
@@ -261,8 +273,14 @@
     return this.#registry.listAsking();
   }
 
-  /** See {@link CallHandover.setPeers}. */
-  setPeers(addresses: ReadonlyMap<InstanceId, string>): void {
+  /**
+   * Sets the other instances, and the key that all instances share.
+   *
+   * @param peerKey - Signs the calls that instances hand over to each other. It may change.
+   * @param addresses - IP addresses and ports for callers.
+   */
+  setPeers(peerKey: string, addresses: ReadonlyMap<InstanceId, string>): void {
+    this.#markSigner.setPeerKey(peerKey);
     this.#handover.setPeers(addresses);
   }
 
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -1,14 +1,19 @@
 import { createHash, hash as hashOneShot } from 'node:crypto';
 import { copyEndToEndHeaders, forwardResponseBody, readBody, refuse } from '@dotterelpass/proxy';
 import type { RequestBody, IncomingCall, Refusal } from '@dotterelpass/proxy';
+import type { LogFields } from '@dotterelpass/telemetry';
 import type { Random } from '@dotterelpass/values';
+import type { RejectionCause } from '@dotterelpass/workspaces';
 import { match } from 'ts-pattern';
 import { readAfterTurn } from './body.js';
 import { discardAnswer } from './call.js';
-import { parseHandover, refusalReasonHeader } from './handover.js';
 import type { CallHandover } from './handover.js';
+import { omitTrailers } from './forwarding.js';
+import { rejectionMessages } from './identity.js';
+import type { CallIdentity, CallerIdentifier } from './identity.js';
+import { refusalReasonHeader } from './mark.js';
 import type { Call, CallFailure, CallResponse, CallResult, CallTrace } from './call.js';
-import { getCallClass } from './catalog.js';
+import { getCallClass, getCallPriority } from './catalog.js';
 import type { CallerBounds, Route } from './catalog.js';
 import type { CrashTable } from './crashes.js';
 import type { HeaderCodec } from './codec.js';
@@ -65,6 +70,7 @@
   readonly headerCodec: HeaderCodec;
   readonly routes: RouteTable;
   readonly sender: CallHandover;
+  readonly identifier: CallerIdentifier;
   readonly crashes: CrashTable;
   readonly callerTimeouts: CallerTimeouts;
   readonly latency: LatencyEstimator;
@@ -86,7 +92,7 @@
   readonly endsAt: number;
 }
 
-type CallOrigin = Pick<Call, 'targetDeadlineAt' | 'deadlineAt' | 'handedOverBy'>;
+type CallOrigin = Pick<Call, 'targetDeadlineAt' | 'deadlineAt' | 'handedOverBy'> & CallIdentity;
 
 /** Handles the calls of callers: finds their route, sends them and writes the response. */
 export class CallHandler {
@@ -104,7 +110,7 @@
   async handleCall(incoming: IncomingCall): Promise<void> {
     // The time behind earlier calls of the connection counts towards the deadline.
     const startedAt = incoming.receivedAt;
-    const { routes, headerCodec, callerTimeouts } = this.#options;
+    const { routes, headerCodec, callerTimeouts, identifier } = this.#options;
     const { request, target } = incoming;
     const { id, timeoutMs: callerTimeoutMs } = headerCodec.parseRequestHeaders(request.headers);
     if (routes.version < 0) {
@@ -117,7 +123,7 @@
       return;
     }
     const { version } = routes;
-    const handover = parseHandover(request.headers);
+    const handover = identifier.readMark(incoming, id);
     if (handover && handover.configVersion > version) {
       const message = `configuration ${version} is older than ${handover.configVersion} of the sender`;
       const refusal = { status: 503, verdict: 'not-run', message } as const;
@@ -130,6 +136,12 @@
       this.#refuseEarly(incoming, { status: 404, verdict: 'not-run', message });
       return;
     }
+    const identity = identifier.identifyCall(incoming, route, handover);
+    if (identity.isErr()) {
+      this.#refuseUnidentified(incoming, route, identity.error);
+      return;
+    }
+    const { workspace } = identity.value;
     const callerLimitMs =
       callerTimeoutMs === undefined ? Infinity : callerTimeoutMs - deadlineMarginMs;
     const limitMs = Math.min(route.timeoutMs, callerLimitMs);
@@ -148,7 +160,7 @@
       incoming,
       id,
       route,
-      { targetDeadlineAt, deadlineAt, handedOverBy: handover?.instance },
+      { targetDeadlineAt, deadlineAt, handedOverBy: handover?.instance, ...identity.value },
       trace,
     );
     const ms = performance.now() - startedAt;
@@ -159,7 +171,8 @@
       ...(handover ? { handedOverBy: handover.instance } : {}),
       ...(outcome.timedOutIn === undefined ? {} : { timeLimit }),
     };
-    this.#options.recorder.recordOutcome(incoming, id, route, timing, outcome, ms, trace);
+    const call = { id, route, workspace };
+    this.#options.recorder.recordOutcome(incoming, call, timing, outcome, ms, trace);
   }
 
   /** Whether a call that arrives now is answered before this instance stops. */
@@ -175,12 +188,13 @@
     incoming: IncomingCall,
     id: Call['id'],
     route: Route,
-    { targetDeadlineAt, deadlineAt, handedOverBy }: CallOrigin,
+    origin: CallOrigin,
     trace: CallTrace,
   ): Promise<CallOutcome> {
-    const { routes, sender, crashes } = this.#options;
+    const { routes, sender, crashes, headerCodec } = this.#options;
     const { request, target } = incoming;
-    const remainingMs = deadlineAt - performance.now();
+    const { workspace, hidesCredentials } = origin;
+    const remainingMs = origin.deadlineAt - performance.now();
     if (remainingMs <= 0) {
       const message = 'the deadline passed behind earlier calls of the connection';
       const refusal = { status: 503, verdict: 'not-run', message } as const;
@@ -210,19 +224,18 @@
       const refusal = { status: 503, verdict: 'not-run', message } as const;
       return this.#respondWithRefusal(incoming, refusal, 'no-service', unreachableRetryAfterMs);
     }
+    const priority = getCallPriority({ route, workspace });
     const call: Call = {
+      ...origin,
       incoming,
       id,
       method,
       route,
       service,
-      className: getCallClass(route),
-      isUrgent: routes.isUrgent(route, service),
-      isDeferrable: routes.isDeferrable(route, service),
-      body: body.value,
-      handedOverBy,
-      targetDeadlineAt,
-      deadlineAt,
+      className: getCallClass({ route, workspace }),
+      isUrgent: routes.isUrgent({ priority }, service),
+      isDeferrable: routes.isDeferrable({ priority }, service),
+      body: hidesCredentials ? omitTrailers(body.value, headerCodec.credentialHeaders) : body.value,
       fingerprint,
     };
     return this.#respondWithResult(call, await sender.sendCall(call, trace));
@@ -321,9 +334,21 @@
     return { status: refusal.status, verdict: refusal.verdict, reason };
   }
 
-  #refuseEarly(incoming: IncomingCall, refusal: Refusal, waitMs?: number): void {
+  #refuseUnidentified(incoming: IncomingCall, route: Route, cause: RejectionCause): void {
+    incoming.response.setHeader('www-authenticate', this.#options.headerCodec.challenge);
+    const message = rejectionMessages[cause];
+    const refusal = { status: 401, verdict: 'not-run', message } as const;
+    this.#refuseEarly(incoming, refusal, undefined, { route: route.name, cause });
+  }
+
+  #refuseEarly(
+    incoming: IncomingCall,
+    refusal: Refusal,
+    waitMs?: number,
+    details?: LogFields,
+  ): void {
     this.#respondWithRefusal(incoming, refusal, 'early', waitMs);
-    this.#options.recorder.recordRefusal(refusal, incoming.request);
+    this.#options.recorder.recordRefusal(refusal, incoming.request, details);
   }
 }
 
--- a/packages/gateway/src/handover.ts
+++ b/packages/gateway/src/handover.ts
@@ -1,5 +1,5 @@
-import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
-import { ConnectionPool, copyEndToEndHeaders } from '@dotterelpass/proxy';
+import type { IncomingMessage } from 'node:http';
+import { ConnectionPool } from '@dotterelpass/proxy';
 import type { Metrics } from '@dotterelpass/telemetry';
 import { outcomeHeader, rankByHash } from '@dotterelpass/values';
 import type { Clock, InstanceId, Random, ServiceId } from '@dotterelpass/values';
@@ -7,18 +7,12 @@
 import { createCancelledFailure } from './call.js';
 import type { Call, CallFailure, CallResult, CallTrace } from './call.js';
 import type { HeaderCodec } from './codec.js';
+import { HeaderCopier } from './forwarding.js';
+import { formatMark, handoverHeader, refusalReasonHeader } from './mark.js';
+import type { MarkSigner } from './mark.js';
 import type { Reach, ReachMonitor } from './reach.js';
 import type { CallSender } from './sender.js';
 
-/**
- * Marks a call that another instance hands over. The value is the name of that instance and the
- * version of its configuration.
- */
-export const handoverHeader = 'dotterelpass-handed-over';
-
-/** Tells the instance that has handed a call over why it was refused. */
-export const refusalReasonHeader = 'dotterelpass-refusal';
-
 /** Peers that are asked for one call. */
 const maxPeersPerCall = 3;
 
@@ -45,30 +39,11 @@
 /** Time for which a peer gets no calls after it could not be reached or did not answer. */
 const unreachableMs = 3000;
 
-/** What another instance states about a call that it hands over. */
-export interface HandoverMark {
-  readonly instance: string;
-  readonly configVersion: number;
-}
-
-/**
- * Parses the mark of a call that another instance hands over.
- *
- * @param headers - Headers of the request.
- * @returns The mark; undefined for a call of a caller, and for a mark that cannot be parsed.
- */
-export function parseHandover(headers: IncomingHttpHeaders): HandoverMark | undefined {
-  const value = headers[handoverHeader];
-  if (typeof value !== 'string') return undefined;
-  const [instance = '', version] = value.split(' ');
-  const configVersion = Number(version);
-  return Number.isSafeInteger(configVersion) ? { instance, configVersion } : undefined;
-}
-
 export interface CallHandoverOptions {
   readonly instance: InstanceId;
   readonly headerCodec: HeaderCodec;
   readonly sender: CallSender;
+  readonly signer: MarkSigner;
   readonly reach: ReachMonitor;
   readonly clock: Clock;
   readonly random: Random;
@@ -90,6 +65,8 @@
 export class CallHandover {
   readonly #options: CallHandoverOptions;
 
+  readonly #copier: HeaderCopier;
+
   readonly #peers = new Map<InstanceId, PeerTarget>();
 
   /** Peers in the order of preference. */
@@ -100,6 +77,7 @@
 
   constructor(options: CallHandoverOptions) {
     this.#options = options;
+    this.#copier = new HeaderCopier(options.headerCodec);
   }
 
   /**
@@ -194,13 +172,10 @@
       method: call.method,
       path: incoming.target.pathAndQuery,
       headers: [
-        ...copyEndToEndHeaders(
-          incoming.request.rawHeaders,
-          new Set([...headerCodec.replacedRequestHeaders, 'content-length', handoverHeader]),
-        ),
+        ...this.#copier.copyHeaders(call),
         ...headerCodec.buildTimeoutHeaders(remainingMs),
         handoverHeader,
-        `${this.#options.instance} ${this.#options.getConfigVersion()}`,
+        this.#buildMark(call),
       ],
       body: call.body,
       timeoutMs: remainingMs,
@@ -261,6 +236,13 @@
     };
   }
 
+  #buildMark({ id, method, incoming, workspace, hidesCredentials }: Call): string {
+    const { instance, signer, getConfigVersion } = this.#options;
+    const mark = { instance, configVersion: getConfigVersion(), workspace: workspace?.name };
+    if (!hidesCredentials) return formatMark(mark);
+    return signer.signMark(mark, { id, method, target: incoming.target });
+  }
+
   #avoid(key: string, ms: number): void {
     this.#avoidUntil.set(key, this.#options.clock.now() + ms);
   }
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -134,7 +134,7 @@
       },
       onPeers: (peerKey, peers) => {
         this.#peerSync.setPeers(peerKey, peers);
-        gateway.setPeers(listCallerAddresses(peers));
+        gateway.setPeers(peerKey, listCallerAddresses(peers));
       },
     });
     this.#peerSync = new PeerSync({
--- a/packages/gateway/src/recorder.ts
+++ b/packages/gateway/src/recorder.ts
@@ -1,9 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import type { IncomingCall, Refusal } from '@dotterelpass/proxy';
-import type { Logger, Metrics } from '@dotterelpass/telemetry';
+import type { LogFields, Logger, Metrics } from '@dotterelpass/telemetry';
 import type { Call, CallTrace, RetryBlock, TimeLimit, TimeoutPhase } from './call.js';
 import { getCallClass } from './catalog.js';
-import type { Route } from './catalog.js';
 import type { HeaderCodec } from './codec.js';
 import type { RecentFailures } from './failures.js';
 
@@ -33,6 +32,8 @@
   readonly timeLimit?: TimeLimit;
 }
 
+type RecordedCall = Pick<Call, 'id' | 'route' | 'workspace'>;
+
 export interface CallRecorderOptions {
   readonly headerCodec: HeaderCodec;
   readonly recentFailures: RecentFailures;
@@ -54,8 +55,13 @@
    *
    * @param refusal - The refusal.
    * @param request - The request; undefined for input that could not be parsed.
+   * @param details - Further fields of the log line.
    */
-  recordRefusal({ status, verdict, message }: Refusal, request: IncomingMessage | undefined): void {
+  recordRefusal(
+    { status, verdict, message }: Refusal,
+    request: IncomingMessage | undefined,
+    details: LogFields = {},
+  ): void {
     const { log, metrics, headerCodec } = this.#options;
     metrics.recordEvent(`refused-${status}`);
     log.info('request-failed', {
@@ -63,19 +69,20 @@
       status,
       verdict,
       reason: message,
+      ...details,
     });
   }
 
   /**
    * Records how a call has ended.
    *
+   * @param call - Whose call it is, and its route.
    * @param ms - Time since the call was received, in milliseconds.
    * @param trace - What was tried.
    */
   recordOutcome(
     { target, callsAhead }: IncomingCall,
-    id: Call['id'],
-    route: Route,
+    { id, route, workspace }: RecordedCall,
     timing: LoggedTiming,
     { status, verdict, reason, timedOutIn, retryBlock }: CallOutcome,
     ms: number,
@@ -85,8 +92,8 @@
     const [first] = route.targets;
     metrics.recordCall({
       service: first?.service ?? 'none',
-      tenant: target.host,
-      class: getCallClass(route),
+      tenant: workspace?.name ?? target.host,
+      class: getCallClass({ route, workspace }),
       seconds: ms / 1000,
       verdict,
       status,
@@ -94,6 +101,7 @@
     const fields = {
       requestId: id,
       route: route.name,
+      ...(workspace ? { workspace: workspace.name } : {}),
       ...timing,
       status,
       verdict,
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -15,6 +15,8 @@
   /** Prefix of the keys of registrations. */
   readonly registrationPrefix: string;
   decodeConfig(value: Buffer): Result<GatewayConfig, string>;
+  /** Removes what other instances must not be sent; `decodeConfig` gives the same result for it. */
+  redactConfig(value: Buffer): Buffer;
   decodeRegistration(key: string, value: Buffer): Result<Registration, string>;
 }
 
@@ -120,6 +122,9 @@
   /** The newest configuration in the store or from another instance. */
   #configItem: StoreItem | undefined;
 
+  /** The same as other instances get it; undefined until one needs it. */
+  #sharedConfigItem: StoreItem | undefined;
+
   #configVersion = -1;
 
   /** When the configuration was last confirmed to be current. */
@@ -232,7 +237,7 @@
     return {
       // Only the version tells which configuration is newer: a store that is restored from a copy
       // assigns its revisions again.
-      catalog: this.#configVersion > configVersion ? this.#configItem : undefined,
+      catalog: this.#configVersion > configVersion ? this.#getSharedConfigItem() : undefined,
       catalogAgeMs: now - this.#configCheckedAt,
       registrations: this.#changeLog.getChangesSince(registrations),
       listedAgeMs: now - this.#completeAt,
@@ -426,6 +431,15 @@
     log.warn('store-restored', { before, now: epoch });
   }
 
+  #getSharedConfigItem(): StoreItem | undefined {
+    const item = this.#configItem;
+    this.#sharedConfigItem ??= item && {
+      ...item,
+      value: this.#options.schema.redactConfig(item.value),
+    };
+    return this.#sharedConfigItem;
+  }
+
   #applyConfig(item: StoreItem, source: string): void {
     const { schema, target, log, metrics } = this.#options;
     const config = schema.decodeConfig(item.value);
@@ -437,6 +451,7 @@
     const { version } = config.value;
     if (version <= this.#configVersion) return;
     this.#configItem = item;
+    this.#sharedConfigItem = undefined;
     this.#configVersion = version;
     target.setConfig(config.value, source);
     this.#options.onChange();
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -7,13 +7,15 @@
  */
 type CurrentWeights = Map<ServiceId, number>;
 
+type Prioritized = Pick<Route, 'priority'>;
+
 /** Matches calls to routes, and divides the calls of a route between its targets by weight. */
 export class RouteTable {
   #version = -1;
 
   #hosts = new Map<string, readonly Route[]>();
 
-  /** Priorities of the routes of each service; 0 is the most urgent. */
+  /** Priorities that the calls of each service can have; 0 is the most urgent. */
   #priorities = new Map<ServiceId, ReadonlySet<number>>();
 
   /** Kept across configurations, so that the shares also hold when these change often. */
@@ -42,7 +44,7 @@
     const names = new Set(config.routes.map(({ name }) => name));
     this.#currentWeights = new Map([...this.#currentWeights].filter(([name]) => names.has(name)));
     this.#hosts = hosts;
-    this.#priorities = groupPriorities(config.routes);
+    this.#priorities = groupPriorities(config);
     this.#version = config.version;
     return true;
   }
@@ -57,13 +59,13 @@
     return this.#hosts.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
   }
 
-  /** Whether a service also has routes of a less urgent priority than this route. */
-  isUrgent({ priority }: Route, service: ServiceId): boolean {
+  /** Whether a service also gets calls of a less urgent priority than this one. */
+  isUrgent({ priority }: Prioritized, service: ServiceId): boolean {
     return [...(this.#priorities.get(service) ?? [])].some((other) => other > priority);
   }
 
-  /** Whether a service also has routes of a more urgent priority than this route. */
-  isDeferrable({ priority }: Route, service: ServiceId): boolean {
+  /** Whether a service also gets calls of a more urgent priority than this one. */
+  isDeferrable({ priority }: Prioritized, service: ServiceId): boolean {
     return [...(this.#priorities.get(service) ?? [])].some((other) => other < priority);
   }
 
@@ -102,13 +104,23 @@
   }
 }
 
-function groupPriorities(routes: readonly Route[]): Map<ServiceId, ReadonlySet<number>> {
+/**
+ * Groups the priorities of calls by service. Each workspace may call each route; the priority of the
+ * route counts for workspaces without one, and for anonymous calls.
+ */
+function groupPriorities({
+  routes,
+  workspaces,
+}: GatewayConfig): Map<ServiceId, ReadonlySet<number>> {
+  const all = workspaces?.list().map(({ priority }) => priority) ?? [undefined];
+  const ofWorkspaces = all.filter((priority) => priority !== undefined);
   const groups = new Map<ServiceId, Set<number>>();
-  routes.forEach(({ targets, priority }) => {
+  routes.forEach(({ targets, priority, isPublic }) => {
+    const mayUseOwn = isPublic === true || ofWorkspaces.length < all.length;
     targets.forEach(({ service }) => {
-      const existing = groups.get(service);
-      if (existing) existing.add(priority);
-      else groups.set(service, new Set([priority]));
+      const group = groups.get(service) ?? new Set(ofWorkspaces);
+      groups.set(service, group);
+      if (mayUseOwn) group.add(priority);
     });
   });
   return groups;
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,4 +1,4 @@
-import { copyEndToEndHeaders, isOnReusedConnection } from '@dotterelpass/proxy';
+import { isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
 import type { Verdict } from '@dotterelpass/values';
 import { isPick } from './admission.js';
@@ -9,8 +9,8 @@
 import type { AttemptRecord, Call, CallResult, CallFailure, RetryBlock } from './call.js';
 import type { HeaderCodec } from './codec.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
+import { HeaderCopier } from './forwarding.js';
 import { calculateHedgeDelayMs, isSlowerThan, selectResult } from './hedge.js';
-import { handoverHeader } from './handover.js';
 import { hasSpareCapacity } from './picker.js';
 import type { Pick, Picker } from './picker.js';
 import type { LatencyEstimator } from './latency.js';
@@ -38,19 +38,11 @@
 export class CallSender {
   readonly #options: CallSenderOptions;
 
-  /**
-   * Request headers that are not copied from the caller because the instance sets them. A second
-   * Content-Length would allow request smuggling.
-   */
-  readonly #omittedRequestHeaders: ReadonlySet<string>;
+  readonly #copier: HeaderCopier;
 
   constructor(options: CallSenderOptions) {
     this.#options = options;
-    this.#omittedRequestHeaders = new Set([
-      ...options.headerCodec.replacedRequestHeaders,
-      'content-length',
-      handoverHeader,
-    ]);
+    this.#copier = new HeaderCopier(options.headerCodec);
   }
 
   /**
@@ -189,8 +181,9 @@
       method: call.method,
       path: call.incoming.target.pathAndQuery,
       headers: [
-        ...copyEndToEndHeaders(call.incoming.request.rawHeaders, this.#omittedRequestHeaders),
+        ...this.#copier.copyHeaders(call),
         ...headerCodec.buildAttemptHeaders(id, remainingMs),
+        ...(call.workspace ? headerCodec.buildWorkspaceHeaders(call.workspace.name) : []),
       ],
       body: call.body,
       timeoutMs: remainingMs,
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -11,7 +11,9 @@
   InstanceId,
   RequestId,
   ServiceId,
+  WorkspaceId,
 } from '@dotterelpass/values';
+import type { Credential, WorkspaceTable } from '@dotterelpass/workspaces';
 import type { Route, RouteName } from '../src/catalog.js';
 import { HeaderCodec } from '../src/codec.js';
 import type {
@@ -31,6 +33,13 @@
 class BedCodec extends HeaderCodec {
   override readonly replacedRequestHeaders: ReadonlySet<string> = new Set();
 
+  override readonly credentialHeaders: ReadonlySet<string> = new Set([
+    'authorization',
+    'tenant-id',
+  ]);
+
+  override readonly challenge = 'Token';
+
   override readonly internalResponseHeaders: ReadonlySet<string> = new Set();
 
   override parseRequestHeaders({ id, fails, 'timeout-ms': timeout }: IncomingHttpHeaders) {
@@ -61,6 +70,16 @@
     return { kind: 'answer', isSuccess: status < 500 };
   }
 
+  override parseCredential({ authorization }: IncomingHttpHeaders): Credential {
+    if (authorization === undefined) return { kind: 'missing' };
+    const key = /^Token (\S+)$/.exec(authorization)?.[1];
+    return key === undefined ? { kind: 'malformed' } : { kind: 'key', key };
+  }
+
+  override buildWorkspaceHeaders(workspace: WorkspaceId): string[] {
+    return ['Tenant-Id', workspace];
+  }
+
   override parseLoadReport() {
     return undefined;
   }
@@ -90,6 +109,14 @@
   /** Connections that an endpoint takes from all instances, from the next `setRoute` on. */
   maxConnections = 1000;
 
+  /** Workspaces from the next `setRoute` on; without any, no keys are asked for. */
+  workspaces: WorkspaceTable | undefined;
+
+  /** Whether a route is in force from the start on. */
+  hasConfiguration = true;
+
+  readonly metrics = new Metrics();
+
   /** Log lines of the levels `info` and `error`. */
   readonly lines: { readonly event: string; readonly fields: LogFields }[] = [];
 
@@ -99,11 +126,11 @@
 
   #version = 0;
 
-  constructor() {
+  constructor(instance = 'one') {
     this.gateway = new Gateway(
       {
         headerCodec: new BedCodec(),
-        instance: 'one' as InstanceId,
+        instance: instance as InstanceId,
         failureDomain: 'z1' as FailureDomain,
         limits: {
           retryShare: 0,
@@ -119,7 +146,7 @@
           warn: () => undefined,
           error: (event, fields = {}) => this.lines.push({ event, fields }),
         },
-        metrics: new Metrics(),
+        metrics: this.metrics,
         onSuspect: () => undefined,
         onBan: () => undefined,
       },
@@ -158,7 +185,7 @@
   }
 
   async #startGateway(): Promise<void> {
-    this.setRoute({});
+    if (this.hasConfiguration) this.setRoute({});
     this.gateway.setRegistrations(
       this.endpointPorts.map((port, index) => ({
         id: `i-${index + 1}` as EndpointId,
@@ -202,6 +229,7 @@
           headersTimeoutMs: 10_000,
           idleMs: 60_000,
         },
+        workspaces: this.workspaces,
       },
       'test',
     );
--- a/packages/gateway/test/handover.test.ts
+++ b/packages/gateway/test/handover.test.ts
@@ -7,7 +7,8 @@
 import type { InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Call, CallResult, CallTrace } from '../src/call.js';
-import { CallHandover, parseHandover } from '../src/handover.js';
+import { CallHandover } from '../src/handover.js';
+import { MarkSigner, parseHandover } from '../src/mark.js';
 import type { Reach } from '../src/reach.js';
 
 const service = 'a' as ServiceId;
@@ -57,6 +58,7 @@
     instance: 'one' as InstanceId,
     headerCodec: {
       replacedRequestHeaders: new Set(),
+      credentialHeaders: new Set(),
       buildTimeoutHeaders: (ms: number) => ['timeout-ms', String(ms)],
     } as never,
     sender: {
@@ -66,6 +68,7 @@
         return result;
       },
     } as never,
+    signer: new MarkSigner(),
     reach: { checkReach: () => reach } as never,
     clock,
     random: makeRandom(3),
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -5,6 +5,7 @@
 import { Metrics, createLogger } from '@dotterelpass/telemetry';
 import { systemClock } from '@dotterelpass/values';
 import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
+import type { Credential } from '@dotterelpass/workspaces';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { HeaderCodec } from '../src/codec.js';
 import type {
@@ -22,6 +23,10 @@
 class TestCodec extends HeaderCodec {
   override readonly replacedRequestHeaders: ReadonlySet<string> = new Set();
 
+  override readonly credentialHeaders: ReadonlySet<string> = new Set();
+
+  override readonly challenge = '';
+
   override readonly internalResponseHeaders: ReadonlySet<string> = new Set();
 
   override parseRequestHeaders() {
@@ -40,6 +45,14 @@
     return { kind: 'answer', isSuccess: true };
   }
 
+  override parseCredential(): Credential {
+    return { kind: 'missing' };
+  }
+
+  override buildWorkspaceHeaders(): string[] {
+    return [];
+  }
+
   override parseLoadReport() {
     return undefined;
   }
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -106,6 +106,7 @@
       configKey: 'config',
       registrationPrefix: 'servers/',
       decodeConfig: () => err('not used'),
+      redactConfig: (value) => value,
       decodeRegistration: (key) => ok(makeRegistration(key)),
     },
     target: {
