--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -14,7 +14,7 @@
   WorkspaceId,
 } from '@dotterelpass/values';
 import type { Credential, WorkspaceTable } from '@dotterelpass/workspaces';
-import type { Route, RouteName } from '../src/catalog.js';
+import type { Registration, Route, RouteName } from '../src/catalog.js';
 import { HeaderCodec } from '../src/codec.js';
 import type {
   ParsedBackpressure,
@@ -164,6 +164,20 @@
     return this.#endpoints.map((server) => (server.address() as AddressInfo).port);
   }
 
+  /** Registrations of the endpoints. */
+  get registrations(): Registration[] {
+    return this.endpointPorts.map((port, index) => ({
+      id: `i-${index + 1}` as EndpointId,
+      service,
+      address: `127.0.0.1:${port}`,
+      failureDomain: 'z1' as FailureDomain,
+      slots,
+      state: 'ready',
+      startedAtMs: 1,
+      warmupMs: 0,
+    }));
+  }
+
   /**
    * Starts the gateway and its endpoints.
    *
@@ -186,18 +200,7 @@
 
   async #startGateway(): Promise<void> {
     if (this.hasConfiguration) this.setRoute({});
-    this.gateway.setRegistrations(
-      this.endpointPorts.map((port, index) => ({
-        id: `i-${index + 1}` as EndpointId,
-        service,
-        address: `127.0.0.1:${port}`,
-        failureDomain: 'z1' as FailureDomain,
-        slots,
-        state: 'ready',
-        startedAtMs: 1,
-        warmupMs: 0,
-      })),
-    );
+    this.gateway.setRegistrations(this.registrations);
     this.#port = await this.gateway.callers.listen('127.0.0.1', 0);
   }
 
--- a/packages/workspaces/test/workspaces.test.ts
+++ b/packages/workspaces/test/workspaces.test.ts
@@ -16,8 +16,11 @@
   keyDigests: keys.map(hashKey),
 });
 
-const buildTable = (...entries: WorkspaceEntry[]): WorkspaceTable =>
-  WorkspaceTable.build(entries)._unsafeUnwrap();
+function buildTable(...entries: WorkspaceEntry[]): WorkspaceTable {
+  const table = WorkspaceTable.build(entries);
+  if (table.isErr()) throw new RangeError(table.error);
+  return table.value;
+}
 
 describe('a table of workspaces', () => {
   /** Guards against a key that counts for another workspace, or after it was withdrawn. */
