--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -15,7 +15,12 @@
   /** Prefix of the keys of registrations. */
   readonly registrationPrefix: string;
   decodeConfig(value: Buffer): Result<GatewayConfig, string>;
-  /** Removes what other instances must not be sent; `decodeConfig` gives the same result for it. */
+  /**
+   * Replaces the keys of workspaces, which other instances must not be sent.
+   *
+   * @param value - A configuration with workspaces.
+   * @returns A value for which `decodeConfig` gives the same result.
+   */
   redactConfig(value: Buffer): Buffer;
   decodeRegistration(key: string, value: Buffer): Result<Registration, string>;
 }
@@ -451,7 +456,7 @@
     const { version } = config.value;
     if (version <= this.#configVersion) return;
     this.#configItem = item;
-    this.#sharedConfigItem = undefined;
+    this.#sharedConfigItem = config.value.workspaces ? undefined : item;
     this.#configVersion = version;
     target.setConfig(config.value, source);
     this.#options.onChange();
--- a/packages/gateway/test/identity.test.ts
+++ b/packages/gateway/test/identity.test.ts
@@ -23,7 +23,7 @@
 }
 
 interface SendOptions {
-  readonly headers?: Record<string, string>;
+  readonly headers?: NodeJS.Dict<string>;
   readonly agent?: Agent;
   readonly method?: string;
   readonly path?: string;
--- a/packages/gateway/test/shared.test.ts
+++ b/packages/gateway/test/shared.test.ts
@@ -2,10 +2,11 @@
 import { Metrics, createLogger, setLogDestination } from '@dotterelpass/telemetry';
 import { ManualClock, makeRandom } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
-import { describe, expect, it } from 'vitest';
+import { beforeEach, describe, expect, it } from 'vitest';
 import type { GatewayConfig } from '../src/catalog.js';
 import { StoreReplica } from '../src/replica.js';
 import type { ReplicaUpdate } from '../src/replica.js';
+import { buildTable } from './workspaces.js';
 
 /** A store that is not used. */
 const store = {} as KeyValueStore;
@@ -18,9 +19,13 @@
       registrationPrefix: 'servers/',
       decodeConfig: (value) => {
         const version = Number(/\d+/.exec(value.toString())?.[0]);
-        return ok({ version } as GatewayConfig);
+        const workspaces = value.includes('plain') ? undefined : buildTable({});
+        return ok({ version, workspaces } as GatewayConfig);
+      },
+      redactConfig: (value) => {
+        if (value.includes('plain')) throw new Error('there is nothing to redact');
+        return Buffer.from(value.toString().replace('secret', 'digest'));
       },
-      redactConfig: (value) => Buffer.from(value.toString().replace('secret', 'digest')),
       decodeRegistration: () => err('not used'),
     },
     target: {
@@ -50,10 +55,11 @@
 
 const progress = { registrations: { epoch: 1, revision: 5 }, configVersion: -1 };
 
+beforeEach(() => setLogDestination({ write: () => undefined }));
+
 describe('a configuration that goes to another instance', () => {
   /** Guards against keys of callers in messages between instances, and against an old version. */
   it('is redacted, in each version', () => {
-    setLogDestination({ write: () => undefined });
     const versions: number[] = [];
     const replica = makeReplica(versions);
     for (const version of [7, 8]) {
@@ -67,4 +73,12 @@
     receiver.mergeUpdate(replica.buildUpdate(progress), 'test');
     expect(versions).toEqual([7, 8, 8]);
   });
+
+  /** Guards against work on each version for those who use no keys. */
+  it('is passed on as it is without workspaces', () => {
+    const replica = makeReplica([]);
+    const update = makeUpdate('7 plain');
+    replica.mergeUpdate(update, 'test');
+    expect(replica.buildUpdate(progress).catalog).toBe(update.catalog);
+  });
 });
