--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
 import { crestScenario } from './crest.js';
 import { headOfLineScenario } from './hol.js';
 import { idleScenario } from './idle.js';
+import { keysScenario } from './keys.js';
 import { probeRateScenario } from './measure.js';
 import { onceScenario } from './once.js';
 import { pathScenario } from './path.js';
@@ -21,6 +22,7 @@
   crestScenario,
   headOfLineScenario,
   idleScenario,
+  keysScenario,
   probeRateScenario,
   onceScenario,
   pathScenario,
