Add the decisions of fleet-wide rate limits

Instances need a shared limit per workspace and per cold endpoint without a store write or a message for each request. RateWindow moves there from backpressure.

--- a/packages/backpressure/src/endpoint.ts
+++ b/packages/backpressure/src/endpoint.ts
@@ -1,5 +1,5 @@
+import { RateWindow } from '@dotterelpass/quota';
 import type { Clock, Random } from '@dotterelpass/values';
-import { RateWindow } from './window.js';
 
 /** Largest fleet whose instances use the whole of a limit. */
 const maxSmallFleet = 8;
--- /dev/null
+++ b/packages/quota/src/bounds.ts
@@ -0,0 +1,108 @@
+import type { LimitKey } from '@dotterelpass/values';
+import type { LimitSpec } from './limiter.js';
+
+/** By how much the requests of all instances together may exceed their limits. */
+export interface QuotaBounds {
+  /** Window in which the requests of a workspace are counted. */
+  readonly quotaWindowMs: number;
+  /** Share of a workspace's limit by which it may be exceeded, and requests besides. */
+  readonly quotaOver: number;
+  readonly quotaSlack: number;
+  /** Factor by which the rate of a cold endpoint may be exceeded in one second, and requests besides. */
+  readonly warmupOver: number;
+  readonly warmupSlack: number;
+}
+
+/** The bounds that deployments state. */
+export const defaultQuotaBounds: QuotaBounds = {
+  quotaWindowMs: 5000,
+  quotaOver: 0.1,
+  quotaSlack: 20,
+  warmupOver: 1.5,
+  warmupSlack: 8,
+};
+
+/** Time for which a coordinator counts an instance after it has last heard of it. */
+export const attachmentTtlMs = 2500;
+
+const endpointPrefix = 'endpoint:';
+
+/** Window in which the requests of a cold endpoint are counted. */
+const warmupWindowMs = 1000;
+
+/** Share of the tolerance with which a coordinator starts that takes over a limit of a workspace. */
+const startShare = 0.5;
+
+/**
+ * Share of the tolerance for instances that count at two coordinators. The rest of the tolerance of a
+ * workspace covers what buckets hold beyond the burst.
+ */
+const overlapShare = 0.4;
+
+/**
+ * The same share for cold endpoints, whose coordinators start with the whole burst. With a burst of
+ * up to a quarter of the tolerance, two bursts and the overlap stay within the bound.
+ */
+const warmupOverlapShare = 0.25;
+
+/**
+ * Time for which a bucket keeps tokens beyond the burst. An instance asks again only when a token is
+ * due and at most every 20 ms; a bucket without a burst would lose what becomes due meanwhile.
+ */
+const extraCapacityMs = 50;
+
+/** @returns The key of a workspace's limit. */
+export function makeWorkspaceKey(workspace: string): LimitKey {
+  return `workspace:${workspace}` as LimitKey;
+}
+
+/** @returns The key of a cold endpoint's limit. */
+export function makeEndpointKey(endpoint: string): LimitKey {
+  return `${endpointPrefix}${endpoint}` as LimitKey;
+}
+
+/**
+ * Computes what the bucket of a limit holds at most.
+ *
+ * @param limit - The limit.
+ * @param share - Share of the limit that the bucket hands out.
+ */
+export function computeCapacity({ ratePerSecond, burst }: LimitSpec, share: number): number {
+  // A bucket that never held a whole token would never grant one.
+  return 1 + (burst + (ratePerSecond * extraCapacityMs) / 1000) * share;
+}
+
+/**
+ * Computes the tokens with which a coordinator starts that takes over a limit: an earlier one may
+ * have granted the whole burst just before.
+ */
+export function computeStart(limit: LimitSpec, bounds: QuotaBounds): number {
+  if (isEndpointKey(limit.key)) return limit.burst;
+  return Math.min(limit.burst, startShare * computeTolerance(limit, bounds));
+}
+
+/**
+ * Computes the rate of the limit for instances that may also count at another coordinator. It is so
+ * low that what they get twice stays within the tolerance.
+ */
+export function computeOverlapRate(limit: LimitSpec, bounds: QuotaBounds): number {
+  const isEndpoint = isEndpointKey(limit.key);
+  const tolerance = computeTolerance(limit, bounds);
+  const tokens = tolerance * (isEndpoint ? warmupOverlapShare : overlapShare);
+  const spanMs = Math.min(attachmentTtlMs, isEndpoint ? warmupWindowMs : bounds.quotaWindowMs);
+  return Math.min(limit.ratePerSecond, (tokens * 1000) / spanMs);
+}
+
+/** Requests beyond the limit that may reach endpoints in one window. */
+function computeTolerance({ key, ratePerSecond, burst }: LimitSpec, bounds: QuotaBounds): number {
+  if (isEndpointKey(key)) {
+    const over = Math.max(0, bounds.warmupOver - 1);
+    return over * ((ratePerSecond * warmupWindowMs) / 1000) + bounds.warmupSlack;
+  }
+  const inWindow = (ratePerSecond * bounds.quotaWindowMs) / 1000 + burst;
+  return bounds.quotaOver * inWindow + bounds.quotaSlack;
+}
+
+function isEndpointKey(key: LimitKey): boolean {
+  return key.startsWith(endpointPrefix);
+}
