--- a/packages/quota/src/bounds.ts
+++ b/packages/quota/src/bounds.ts
@@ -33,22 +33,25 @@
 /** Share of the tolerance with which a coordinator starts that takes over a limit of a workspace. */
 const startShare = 0.5;
 
-/**
- * Share of the tolerance for instances that count at two coordinators. The rest of the tolerance of a
- * workspace covers what buckets hold beyond the burst.
- */
-const overlapShare = 0.4;
+/** Share of the tolerance for what buckets hold beyond the burst. */
+const capacityShare = 0.1;
 
 /**
- * The same share for cold endpoints, whose coordinators start with the whole burst. With a burst of
- * up to a quarter of the tolerance, two bursts and the overlap stay within the bound.
+ * Share of the tolerance of a cold endpoint for instances that count at two coordinators. The rest is
+ * for a second burst: coordinators of cold endpoints start with the whole one. Up to a quarter of the
+ * tolerance, two bursts and the overlap stay within the bound.
  */
 const warmupOverlapShare = 0.25;
 
+/** Share of the tolerance of a workspace for tokens of own shares that are used later than due. */
+const savedShare = 0.75;
+
 /**
- * Time for which a bucket keeps tokens beyond the burst. An instance asks again only when a token is
- * due and at most every 20 ms; a bucket without a burst would lose what becomes due meanwhile.
+ * Tokens that a bucket keeps beyond the burst, and the time for which it keeps further ones. An
+ * instance asks again only when a token is due and at most every 20 ms; a bucket without a burst would
+ * lose what becomes due meanwhile.
  */
+const extraCapacity = 1;
 const extraCapacityMs = 50;
 
 /** @returns The key of a workspace's limit. */
@@ -69,7 +72,7 @@
  */
 export function computeCapacity({ ratePerSecond, burst }: LimitSpec, share: number): number {
   // A bucket that never held a whole token would never grant one.
-  return 1 + (burst + (ratePerSecond * extraCapacityMs) / 1000) * share;
+  return 1 + (extraCapacity + burst + (ratePerSecond * extraCapacityMs) / 1000) * share;
 }
 
 /**
@@ -77,8 +80,9 @@
  * have granted the whole burst just before.
  */
 export function computeStart(limit: LimitSpec, bounds: QuotaBounds): number {
-  if (isEndpointKey(limit.key)) return limit.burst;
-  return Math.min(limit.burst, startShare * computeTolerance(limit, bounds));
+  const { key, burst } = limit;
+  const cap = isEndpointKey(key) ? burst : startShare * computeTolerance(limit, bounds);
+  return Math.max(1, Math.min(burst, cap));
 }
 
 /**
@@ -88,11 +92,23 @@
 export function computeOverlapRate(limit: LimitSpec, bounds: QuotaBounds): number {
   const isEndpoint = isEndpointKey(limit.key);
   const tolerance = computeTolerance(limit, bounds);
-  const tokens = tolerance * (isEndpoint ? warmupOverlapShare : overlapShare);
+  const tokens = isEndpoint
+    ? tolerance * warmupOverlapShare
+    : tolerance * (1 - capacityShare) - computeStart(limit, bounds);
   const spanMs = Math.min(attachmentTtlMs, isEndpoint ? warmupWindowMs : bounds.quotaWindowMs);
   return Math.min(limit.ratePerSecond, (tokens * 1000) / spanMs);
 }
 
+/**
+ * Computes the time for which a token of the own share may be used. At a low rate, an instance with
+ * few requests would otherwise miss most of its tokens; a longer time would let tokens that many
+ * instances have saved exceed the tolerance.
+ */
+export function computeUsableMs(limit: LimitSpec, bounds: QuotaBounds): number {
+  const saved = computeTolerance(limit, bounds) * (isEndpointKey(limit.key) ? 0 : savedShare);
+  return (saved * 1000) / limit.ratePerSecond;
+}
+
 /** Requests beyond the limit that may reach endpoints in one window. */
 function computeTolerance({ key, ratePerSecond, burst }: LimitSpec, bounds: QuotaBounds): number {
   if (isEndpointKey(key)) {
--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -1,7 +1,7 @@
 import { ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Clock, InstanceId, LimitKey, Random } from '@dotterelpass/values';
-import { computeOverlapRate } from './bounds.js';
+import { computeOverlapRate, computeUsableMs } from './bounds.js';
 import type { QuotaBounds } from './bounds.js';
 import type { CoordinatedGroup, QuotaCoordinator } from './coordinator.js';
 import { computeGroup, selectCoordinators } from './groups.js';
@@ -10,11 +10,20 @@
 import { FleetLimiter } from './limiter.js';
 import type { LimitSpec, QuotaDecision } from './limiter.js';
 import { CoordinatorLink } from './link.js';
-import type { QuotaRequest, QuotaResponse, QuotaTransport, TokenAnswer } from './message.js';
+import type {
+  QuotaFailure,
+  QuotaRequest,
+  QuotaResponse,
+  QuotaTransport,
+  TokenAnswer,
+} from './message.js';
 
 /** Minimum time between two messages to the same coordinator. */
 const batchIntervalMs = 20;
 
+/** Interval of the messages to a coordinator that should no longer count this instance. */
+const detachIntervalMs = 250;
+
 /** Interval of the checks, and time without a message after which an attachment is renewed. */
 const tickIntervalMs = 250;
 const renewIntervalMs = 900;
@@ -181,6 +190,17 @@
     this.#wakeWaiters();
   }
 
+  /**
+   * Checks whether a coordinator still responds.
+   *
+   * @param peer - An instance whose connection has closed.
+   */
+  notifyClosed(peer: InstanceId): void {
+    const link = this.#links.get(peer);
+    const isUsed = this.#groups.some(({ coordinator }) => coordinator === peer);
+    if (link && isUsed) this.#sendSoon(link);
+  }
+
   /** @param isActive - Whether any limit is configured; otherwise nothing is sent. */
   setActive(isActive: boolean): void {
     if (isActive === this.#isActive) return;
@@ -266,11 +286,11 @@
   #takeFromShare(limit: InstanceLimit): QuotaDecision {
     const { spec } = limit;
     const group = this.#findGroup(limit);
+    const bounds = this.#options.getBounds();
     const isOverlapping = group !== undefined && this.#computeOverlapMs(group, undefined) > 0;
-    const rate = isOverlapping
-      ? computeOverlapRate(spec, this.#options.getBounds())
-      : spec.ratePerSecond;
-    const decision = limit.takeFromShare(rate / this.#size);
+    const rate = isOverlapping ? computeOverlapRate(spec, bounds) : spec.ratePerSecond;
+    const usableMs = computeUsableMs(spec, bounds);
+    const decision = limit.takeFromShare(rate / this.#size, usableMs);
     if (decision.kind === 'granted') this.#totals.granted += 1;
     else this.#recordDenial(limit, 'own-share', decision.retryAfterMs);
     return decision;
@@ -355,20 +375,24 @@
       group.setCoordinator(next);
       [before, next].forEach((peer) => {
         const link = peer === undefined ? undefined : this.#links.get(peer);
-        if (link && !link.isDown) this.#sendSoon(link);
+        if (link) this.#sendSoon(link);
       });
     });
     this.#detachFromReplaced();
   }
 
-  /** Tells coordinators that a change of the fleet has replaced not to count this instance any more. */
+  /**
+   * Tells coordinators that are no longer used not to count this instance any more. One that has only
+   * stalled answers soon, which ends the overlap.
+   */
   #detachFromReplaced(): void {
-    const candidates = new Set(this.#groups.flatMap(({ order }) => order));
     const now = this.#options.clock.now();
+    const candidates = new Set(this.#groups.flatMap(({ order }) => order));
+    const used = new Map(this.#groups.map(({ id, coordinator }) => [id, coordinator]));
     this.#links.forEach((link, peer) => {
-      if (candidates.has(peer)) return;
-      if (!link.isCountedAt(now)) this.#links.delete(peer);
-      else if (!link.isDown) this.#renew(link);
+      const mayBeCounted = link.findCountedUntil((id) => used.get(id) !== peer) > now;
+      if (mayBeCounted && now - link.sentAt >= detachIntervalMs) this.#sendSoon(link);
+      else if (!mayBeCounted && !candidates.has(peer) && !link.isBusy) this.#links.delete(peer);
     });
   }
 
@@ -399,15 +423,15 @@
     if (link.peer === self) link.renewStamp(coordinator.readStamp(), now);
     const exchange = this.#buildExchange(link);
     link.recordSent(exchange.ids, now);
-    let result: Result<QuotaResponse, string>;
+    let result: Result<QuotaResponse, QuotaFailure>;
     if (link.peer === self) result = ok(coordinator.handleRequest(self, exchange.request));
     else {
       this.#totals.messages += 1;
       result = await transport.request(link.peer, exchange.request, link.timeoutMs);
     }
     if (result.isErr()) {
-      link.recordFailure();
-      this.#failOver(link, exchange, result.error);
+      link.recordFailure(result.error);
+      this.#failOver(link, exchange, result.error.message);
     } else if (result.value.isLeaving) {
       link.recordResponse(result.value, exchange.ids, false, clock.now());
       this.#failOver(link, exchange, 'the coordinator stops');
--- a/packages/quota/src/coordinator.ts
+++ b/packages/quota/src/coordinator.ts
@@ -239,7 +239,7 @@
   #computeStartTokens(spec: LimitSpec, now: number): number {
     const bounds = this.#options.getBounds();
     const isTakenOver = this.#wasTakenOverWithin(spec.key, now, bounds.quotaWindowMs);
-    return isTakenOver ? computeStart(spec, bounds) : spec.burst;
+    return isTakenOver ? computeStart(spec, bounds) : computeCapacity(spec, 1);
   }
 
   #isYoung(key: LimitKey, now: number): boolean {
--- a/packages/quota/src/limit.ts
+++ b/packages/quota/src/limit.ts
@@ -148,9 +148,10 @@
    * Takes a token of the own share.
    *
    * @param perSecond - Rate of the share.
+   * @param usableMs - Time for which a token that is due may be used.
    */
-  takeFromShare(perSecond: number): QuotaDecision {
-    const decision = this.#share.take(perSecond);
+  takeFromShare(perSecond: number, usableMs: number): QuotaDecision {
+    const decision = this.#share.take(perSecond, usableMs);
     if (decision.kind === 'granted') this.#grantedByOwnShare += 1;
     return decision;
   }
--- a/packages/quota/src/link.ts
+++ b/packages/quota/src/link.ts
@@ -1,6 +1,6 @@
 import type { InstanceId } from '@dotterelpass/values';
 import { attachmentTtlMs } from './bounds.js';
-import type { CoordinatorStamp, QuotaResponse } from './message.js';
+import type { CoordinatorStamp, QuotaFailure, QuotaResponse } from './message.js';
 
 /** Time limit of an exchange after which the next coordinator is used. */
 const answerTimeoutMs = 100;
@@ -138,17 +138,13 @@
   }
 
   /** Records that the coordinator has not responded. */
-  recordFailure(): void {
+  recordFailure({ kind }: QuotaFailure): void {
     this.#isBusy = false;
+    if (kind === 'gone') this.#countedUntil.clear();
     this.#isDown = true;
     this.#responses = 0;
   }
 
-  /** Whether the coordinator may still count this instance in any group. */
-  isCountedAt(now: number): boolean {
-    return this.findCountedUntil(() => true) > now;
-  }
-
   /** @returns The time until which the coordinator may count this instance in one of the groups. */
   findCountedUntil(matches: (id: string) => boolean): number {
     const times = [...this.#countedUntil].filter(([id]) => matches(id)).map(([, until]) => until);
--- a/packages/quota/src/message.ts
+++ b/packages/quota/src/message.ts
@@ -64,6 +64,16 @@
   readonly answers: readonly TokenAnswer[];
 }
 
+/** Why a message got no answer. */
+export interface QuotaFailure {
+  /**
+   * `gone` when no process listens at the address of the coordinator, so that it grants nothing more.
+   * Without such evidence it may only be out of reach, and the message may have arrived.
+   */
+  readonly kind: 'gone' | 'unanswered';
+  readonly message: string;
+}
+
 /** Carries messages to coordinators on other instances. */
 export abstract class QuotaTransport {
   /**
@@ -72,11 +82,11 @@
    * @param peer - The other instance.
    * @param message - The message.
    * @param timeoutMs - Maximum time until the answer, in milliseconds.
-   * @returns The answer, or the reason why there is none. The message may have arrived.
+   * @returns The answer, or the reason why there is none.
    */
   abstract request(
     peer: InstanceId,
     message: QuotaRequest,
     timeoutMs: number,
-  ): Promise<Result<QuotaResponse, string>>;
+  ): Promise<Result<QuotaResponse, QuotaFailure>>;
 }
--- a/packages/quota/src/share.ts
+++ b/packages/quota/src/share.ts
@@ -26,9 +26,10 @@
    * Takes one token.
    *
    * @param perSecond - Rate of the share.
+   * @param usableMs - Time for which a token that is due may be used.
    */
-  take(perSecond: number): QuotaDecision {
-    this.#window.setRate(perSecond);
+  take(perSecond: number, usableMs: number): QuotaDecision {
+    this.#window.setRate(perSecond, usableMs);
     const waitMs = this.#window.findNextRequestAt() - this.#clock.now();
     if (waitMs <= 0) {
       this.#window.recordRequest();
--- a/packages/quota/src/window.ts
+++ b/packages/quota/src/window.ts
@@ -3,8 +3,8 @@
 /** Minimum length of a window; a low rate needs longer ones for a single request. */
 const minWindowMs = 500;
 
-/** Time from the start of a window in which its requests may be sent. */
-const usableMs = 500;
+/** Time from the start of a window in which its requests may be sent, unless a longer one is set. */
+const minUsableMs = 500;
 
 /** Factor by which windows may grow without a new random start. */
 const maxGrowthFactor = 2;
@@ -23,6 +23,8 @@
 
   #lengthMs = 0;
 
+  #usableMs = minUsableMs;
+
   #startsAt = 0;
 
   #sentCount = 0;
@@ -32,9 +34,14 @@
     this.#random = random;
   }
 
-  /** @param perSecond - Requests a second; positive. */
-  setRate(perSecond: number): void {
+  /**
+   * @param perSecond - Requests a second; positive.
+   * @param usableMs - Time from the start of a window in which its requests may be sent, if it is
+   * longer than usual.
+   */
+  setRate(perSecond: number, usableMs = minUsableMs): void {
     if (!(perSecond > 0)) throw new RangeError(`rate ${perSecond} is not positive`);
+    this.#usableMs = Math.max(minUsableMs, usableMs);
     const quota = Math.max(1, Math.round((perSecond * minWindowMs) / 1000));
     const lengthMs = (quota * 1000) / perSecond;
     const previousMs = this.#lengthMs;
@@ -56,7 +63,7 @@
     this.#advance();
     const now = this.#clock.now();
     if (this.#startsAt > now) return this.#startsAt;
-    const isUsable = now - this.#startsAt <= usableMs && this.#sentCount < this.#quota;
+    const isUsable = now - this.#startsAt <= this.#usableMs && this.#sentCount < this.#quota;
     return isUsable ? now : this.#startsAt + this.#lengthMs;
   }
 
