Keep the rate limits of workspaces over the fleet

Nothing enforced the limits of workspaces. Instances now exchange the messages of quota over their existing connections, a call of a workspace with a limit needs a token before it is sent, and one beyond the limit gets 429 with the time at which a token is due. Without a limit in the configuration nothing is sent. The tolerances are entries of the setting bounds; operators see limits, grants and denials by cause, attachments and coordinators in /v1/status and /v1/fleet.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -110,6 +110,8 @@
         | 'no-endpoint'
         | 'overload'
         | 'backpressure'
+        /** The rate limit of the workspace. */
+        | 'quota'
         | 'shed'
         | 'timeout'
         | 'reset'
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import { CallerServer } from '@dotterelpass/proxy';
 import { RetryBudget } from '@dotterelpass/retries';
+import type { FleetLimiter, QuotaBounds } from '@dotterelpass/quota';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type {
   Clock,
@@ -25,6 +26,7 @@
 import { EndpointPreference } from './preference.js';
 import { Prober } from './prober.js';
 import { RecentFailures } from './failures.js';
+import { LimitedSender } from './quota.js';
 import { ReachMonitor } from './reach.js';
 import { EndpointRegistry } from './registry.js';
 import type { AskingEndpoint } from './summary.js';
@@ -33,8 +35,11 @@
 import { RouteTable } from './routes.js';
 import { LatencyEstimator } from './latency.js';
 
-/** Limits that apply to all instances together. */
-export interface FleetLimits {
+/**
+ * Limits that apply to all instances together, and by how much shared rate limits may be exceeded;
+ * the latter have defaults.
+ */
+export interface FleetLimits extends Partial<QuotaBounds> {
   /**
    * Retry budget per service: the maximum ratio of extra attempts (retries and hedged requests) to
    * calls, and the number of extra attempts that are allowed besides.
@@ -51,10 +56,13 @@
   readonly instance: InstanceId;
   readonly failureDomain: FailureDomain;
   readonly limits: FleetLimits;
+  readonly limiter: FleetLimiter;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Called when a configuration is in force. */
+  onConfig(config: GatewayConfig): void;
   /** Called when an endpoint has crashed while it ran a request that is a suspect because of it. */
   onSuspect(fingerprint: string, incarnation: Incarnation): void;
   /** Called when a request is banned because endpoints seem to have crashed while running it. */
@@ -189,7 +197,11 @@
     const handler = new CallHandler({
       headerCodec,
       routes: this.#routes,
-      sender: this.#handover,
+      sender: new LimitedSender({
+        sender: this.#handover,
+        limiter: options.limiter,
+        getConfig: () => this.#config,
+      }),
       crashes: this.#crashes,
       callerTimeouts: this.#callerTimeouts,
       random,
@@ -236,6 +248,7 @@
     const previousVersion = this.#routes.version;
     if (!this.#routes.setConfig(config)) return;
     this.#config = config;
+    this.#options.onConfig(config);
     this.#callers.setLimits(config.bounds);
     this.#registry.updateConnectionLimits();
     const names = new Set(config.routes.map(({ name }) => name));
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -64,7 +64,7 @@
 export interface CallHandlerOptions {
   readonly headerCodec: HeaderCodec;
   readonly routes: RouteTable;
-  readonly sender: CallHandover;
+  readonly sender: Pick<CallHandover, 'sendCall'>;
   readonly crashes: CrashTable;
   readonly callerTimeouts: CallerTimeouts;
   readonly latency: LatencyEstimator;
@@ -245,6 +245,11 @@
       return { status: 0, verdict: result.verdict, reason: 'caller-left' };
     }
     const { verdict, message, reason, retryAfterMs } = result;
+    if (reason === 'quota') {
+      // The limiter has spread the time already.
+      const refusal = { status: 429, verdict, message };
+      return this.#respondWithRefusal(incoming, refusal, reason, retryAfterMs);
+    }
     if (verdict === 'not-run') {
       if (handedOverBy !== undefined) incoming.response.setHeader(refusalReasonHeader, reason);
       const usualMs = match(reason)
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -11,6 +11,7 @@
 import { Fleet } from './fleet.js';
 import type { Peer } from './peer.js';
 import { Gateway } from './gateway.js';
+import { FleetQuota } from './limiter.js';
 import type { FleetLimits } from './gateway.js';
 import { OperatorServer } from './operator.js';
 import type { SettingsTracker } from './settings.js';
@@ -73,6 +74,8 @@
 
   readonly #gateway: Gateway;
 
+  readonly #quota: FleetQuota;
+
   readonly #replica: StoreReplica;
 
   readonly #fleet: Fleet;
@@ -92,9 +95,13 @@
     this.#options = options;
     const { instance, incarnation, failureDomain, ip, peerPort, store, schema } = options;
     const { clock, random, log, metrics } = options;
+    this.#quota = new FleetQuota({ ...options, bounds: options.limits });
+    const quota = this.#quota;
     this.#gateway = new Gateway(
       {
         ...options,
+        limiter: quota.limiter,
+        onConfig: (config) => quota.setConfig(config),
         onSuspect: (fingerprint, crashed) => this.#fleet.reportCrash(fingerprint, crashed),
         onBan: (fingerprint) => {
           void this.#fleet.writeBan(fingerprint);
@@ -125,7 +132,10 @@
       clock,
       random,
       log,
-      onSize: (size) => gateway.setFleetSize(size),
+      onSize: (size) => {
+        gateway.setFleetSize(size);
+        quota.setSize(size);
+      },
       onChange: notifyChange,
       onBan: (fingerprint) => gateway.acceptBan(fingerprint),
       onLift: (fingerprint) => gateway.liftBan(fingerprint),
@@ -135,6 +145,7 @@
       onPeers: (peerKey, peers) => {
         this.#peerSync.setPeers(peerKey, peers);
         gateway.setPeers(listCallerAddresses(peers));
+        quota.setPeers([...peers.keys()]);
       },
     });
     this.#peerSync = new PeerSync({
@@ -150,6 +161,7 @@
       log,
       readSummary: () => this.#readSummary(),
     });
+    quota.setMessenger(this.#peerSync);
     this.#readiness = createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503).end();
     });
@@ -231,6 +243,7 @@
   /** @param limits - New limits of the fleet. */
   setLimits(limits: FleetLimits): void {
     this.#gateway.setLimits(limits);
+    this.#quota.setBounds(limits);
   }
 
   /**
@@ -253,6 +266,7 @@
     const { callers } = this.#gateway;
     log.info('stopping', { active: callers.activeCalls, graceMs });
     const now = clock.now();
+    this.#quota.startDraining();
     this.#gateway.startDraining({
       lateFrom: now + graceMs * lateShare,
       endsAt: now + graceMs * closeShare,
@@ -261,6 +275,7 @@
     await callers.close(graceMs * (closeShare - drainShare));
     this.#replica.stop();
     this.#fleet.stop();
+    this.#quota.close();
     this.#peerSync.stop();
     this.#gateway.close();
     store.close();
@@ -297,6 +312,7 @@
       configVersion: this.#gateway.version,
       outOfReach: this.#gateway.servicesOutOfReach,
       asking: this.#gateway.askingEndpoints,
+      quota: this.#quota.readStatus(),
       settings: settings.status,
     };
   }
--- a/packages/gateway/src/summary.ts
+++ b/packages/gateway/src/summary.ts
@@ -1,4 +1,5 @@
 import type { BackpressureStatus } from '@dotterelpass/backpressure';
+import type { QuotaStatus } from '@dotterelpass/quota';
 import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import type { SettingsStatus } from './settings.js';
 
@@ -20,6 +21,8 @@
   readonly outOfReach?: readonly ServiceId[];
   /** What endpoints ask it for; undefined for an instance of an older version. */
   readonly asking?: readonly AskingEndpoint[];
+  /** Shared limits; undefined when none is configured, and for an instance of an older version. */
+  readonly quota?: QuotaStatus | undefined;
   readonly settings: SettingsStatus;
 }
 
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -1,8 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { PeerTransport } from '@dotterelpass/peers';
+import type { MessageBody, MessageHandler, PeerError } from '@dotterelpass/peers';
 import type { Logger } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, Incarnation, InstanceId, Random } from '@dotterelpass/values';
 import type { ReplicaProgress, ReplicaUpdate, StoreReplica } from './replica.js';
+import type { PeerMessenger } from './limiter.js';
 import type { Fleet, FleetUpdate } from './fleet.js';
 import type { Peer } from './peer.js';
 import type { FleetAnswer, InstanceSummary } from './summary.js';
@@ -69,13 +73,18 @@
  * instance sends long-poll requests to its source. An instance without a fresh response reads the
  * store itself; while the store fails, it also asks random fallback peers.
  */
-export class PeerSync {
+export class PeerSync implements PeerMessenger {
   readonly #options: PeerSyncOptions;
 
   #peerKey: string | undefined;
 
   #transport: PeerTransport | undefined;
 
+  /** Handlers of the messages of other components, which every new transport gets. */
+  readonly #handlers = new Map<string, MessageHandler>();
+
+  #closeListeners: readonly ((peer: InstanceId) => void)[] = [];
+
   #peers: ReadonlyMap<InstanceId, Peer> = new Map();
 
   readonly #avoidUntil = new Map<InstanceId, number>();
@@ -160,6 +169,30 @@
     }
   }
 
+  /** See {@link PeerTransport.request}. */
+  async request(
+    peer: InstanceId,
+    type: string,
+    body: MessageBody,
+    timeoutMs: number,
+  ): Promise<Result<MessageBody, PeerError>> {
+    const transport = this.#transport;
+    if (transport) return transport.request(peer, type, body, timeoutMs);
+    return err({ kind: 'unreachable', message: 'the peer key is not known yet' });
+  }
+
+  /** See {@link PeerTransport.handle}. */
+  handle(type: string, handler: MessageHandler): void {
+    this.#handlers.set(type, handler);
+    this.#transport?.handle(type, handler);
+  }
+
+  /** See {@link PeerTransport.addCloseListener}. */
+  addCloseListener(listener: (peer: InstanceId) => void): void {
+    this.#closeListeners = [...this.#closeListeners, listener];
+    this.#transport?.addCloseListener(listener);
+  }
+
   /** Completes the pending long polls because this instance has newer state. */
   notifyChange(): void {
     this.#changeSequence += 1;
@@ -225,6 +258,8 @@
       };
     });
     transport.handle(summaryRequestType, async () => ({ ...this.#options.readSummary() }));
+    this.#handlers.forEach((handler, type) => transport.handle(type, handler));
+    this.#closeListeners.forEach((listener) => transport.addCloseListener(listener));
     transport.listen(ip, port).catch((error: Error) => {
       log.error('peer-port-unusable', { port, reason: error.message });
     });
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -111,6 +111,11 @@
           retryWindowMs: 10_000,
           probesPerSecond: 10_000,
         },
+        limiter: {
+          take: async () => ({ kind: 'granted' }),
+          giveBack: () => undefined,
+        },
+        onConfig: () => undefined,
         clock: systemClock,
         random: makeRandom(7),
         log: {
--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -159,6 +159,11 @@
     this.#size = options.assumedSize;
   }
 
+  /** Number of limits with a state here. */
+  get limitCount(): number {
+    return this.#limits.size;
+  }
+
   /** Counts of all limits together, for metrics. */
   get totals(): Readonly<Record<'granted' | 'denied' | 'failovers' | 'messages', number>> {
     return this.#totals;
--- a/packages/quota/test/fleet.test.ts
+++ b/packages/quota/test/fleet.test.ts
@@ -359,7 +359,11 @@
     const call = async () => {
       arrivals.push(fleet.clock.now());
       const decision = await fleet.take(pick(0), limit);
-      if (decision?.kind === 'denied') fleet.at(decision.retryAfterMs, () => void call());
+      if (decision?.kind === 'denied') {
+        fleet.at(decision.retryAfterMs, () => {
+          void call();
+        });
+      }
     };
     await fleet.run(3000);
     for (let count = 0; count < 150; count++) void call();
@@ -387,7 +391,11 @@
     const call = async () => {
       const decision = await fleet.take(index, limit);
       if (decision?.kind === 'granted') granted += 1;
-      if (decision?.kind === 'denied') fleet.at(decision.retryAfterMs, () => void call());
+      if (decision?.kind === 'denied') {
+        fleet.at(decision.retryAfterMs, () => {
+          void call();
+        });
+      }
     };
     void call();
     // The share of one instance is a token in 94 s.
--- a/packages/quota/test/fleet.ts
+++ b/packages/quota/test/fleet.ts
@@ -249,7 +249,10 @@
       transport: new SimulatedTransport(this, id),
       assumedSize: 8,
       getBounds,
-      schedule: (action, delayMs) => this.#runOn(instance, delayMs, action),
+      schedule: (action, delayMs) => {
+        const instance = this.#byId.get(id);
+        if (instance?.client === client) this.#runOn(instance, delayMs, action);
+      },
       onEvent: (event) => this.events.push(event),
     });
     const instance = { id, domain, client, coordinator, isAlive: true, pausedUntil: 0 };
