--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -112,6 +112,8 @@
         | 'no-endpoint'
         | 'overload'
         | 'backpressure'
+        /** The rate limit of the workspace. */
+        | 'quota'
         | 'shed'
         | 'timeout'
         | 'reset'
