Add the package evacuation with the state of evacuated domains

Cause: operators evacuate failure domains by keys in the store, of which instances learn by listings, watches and peers in any order. Change: a state is complete at its store position, so the newer one of two wins as a whole, also across epochs; watch results are applied only to a state that reaches to their start. The package uses the positions of the package store and has no clock and no sockets.

--- /dev/null
+++ b/packages/evacuation/src/index.ts
@@ -0,0 +1,1 @@
+export * from './state.js';
