Keep evacuated failure domains free of requests

Cause: operators take a failure domain away by a key in the store, and every instance must send nothing more there within 5 s, also one that the store refuses. Change: where the setting contracts contains places, the prefix op/ is listed and watched in place of the single key of the configuration. The reading and watching moves from replica.ts to operator-keys.ts. Watch results carry deletions. Updates between instances carry the state with its position, and a change completes pending long polls. An instance is ready only once it has read the state. The registry leaves out endpoints of evacuated domains, whose idle connections close and whose queued requests end unsent; calls that have no endpoint left are refused at once and not handed over. An instance without usable local endpoints uses a subset as large as a local one elsewhere. Status and fleet table show evacuations.

--- a/packages/evacuation/src/state.ts
+++ b/packages/evacuation/src/state.ts
@@ -116,9 +116,10 @@
 ): EvacuationDifference {
   const earlier = new Map(before.domains.map(({ domain, askedAt }) => [domain, askedAt]));
   const later = new Set(after.domains.map(({ domain }) => domain));
-  const set = after.domains.filter(({ domain, askedAt }) => {
-    const known = earlier.get(domain);
-    return !known || comparePositions(known, askedAt) !== 0;
-  });
+  const set = after.domains.filter(
+    ({ domain, askedAt }) =>
+      // A restored store keeps the revisions of the writes in its copy, in a new epoch.
+      earlier.get(domain)?.revision !== askedAt.revision,
+  );
   return { set, lifted: [...earlier.keys()].filter((domain) => !later.has(domain)) };
 }
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -108,6 +108,8 @@
       readonly verdict: Verdict;
       readonly reason:
         | 'no-endpoint'
+        /** The failure domains of all endpoints are evacuated. */
+        | 'evacuated'
         | 'overload'
         | 'backpressure'
         | 'shed'
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -60,6 +60,8 @@
 
   #isHealthy = true;
 
+  #isEvacuated = false;
+
   /** Whether the last probe found that new connections wait for a slot or are reset. */
   #isFull = false;
 
@@ -132,6 +134,11 @@
     return this.#isHealthy;
   }
 
+  /** Whether operators have evacuated its failure domain, so that it gets nothing more. */
+  get isEvacuated(): boolean {
+    return this.#isEvacuated;
+  }
+
   /** Estimated calls running or queued there: those last reported and those sent since. */
   get load(): number {
     const fullLoad = this.#isFull ? this.#registration.slots : 0;
@@ -187,6 +194,18 @@
     this.#isHealthy = isHealthy;
   }
 
+  /**
+   * Sets whether its failure domain is evacuated. Requests that still wait for a connection would be
+   * sent late, so they fail; those that have one are not disturbed.
+   */
+  setEvacuated(isEvacuated: boolean): void {
+    if (isEvacuated === this.#isEvacuated) return;
+    this.#isEvacuated = isEvacuated;
+    if (!isEvacuated) return;
+    this.#pool.closeIdle();
+    this.#pool.abortQueued();
+  }
+
   startCall(): void {
     this.#inFlight += 1;
     this.#sentSinceReport += 1;
@@ -208,6 +227,8 @@
 
   /** Ejects the endpoint for a short time because it did not respond. */
   recordUnreachable(): void {
+    // What ends while the endpoint gets nothing more says nothing of its reach afterwards.
+    if (this.#isEvacuated) return;
     this.#unreachableAt = this.#clock.now();
     this.#unreachableUntil = this.#unreachableAt + ejectionMs;
     this.#report = undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import type { EvacuatedDomain } from '@dotterelpass/evacuation';
 import { CallerServer } from '@dotterelpass/proxy';
 import { RetryBudget } from '@dotterelpass/retries';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
@@ -162,6 +163,7 @@
       backpressure,
       picker,
       latency: this.#latency,
+      findEvacuation: (service) => this.#registry.findEvacuation(service),
       retries: new RetryPolicy({ budget: this.#budget, latency: this.#latency, metrics }),
       onConnectionReset: (call, endpoint) => {
         void this.#checkCrash(call, endpoint);
@@ -293,6 +295,15 @@
     this.#registry.setRegistrations(registrations);
   }
 
+  /**
+   * Replaces the evacuated failure domains. Waiting calls look for another endpoint at once, or are
+   * refused.
+   */
+  setEvacuations(evacuated: readonly EvacuatedDomain[]): void {
+    this.#registry.setEvacuated(new Set(evacuated.map(({ domain }) => domain)));
+    this.#config?.services.forEach((_, service) => this.#admission.notifyCapacity(service));
+  }
+
   /** @param size - Number of instances that share the limits, including this one. */
   setFleetSize(size: number): void {
     if (size === this.#fleetSize || size < 1) return;
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -189,7 +189,10 @@
   /** Whether the instance is ready for new callers. */
   get isReady(): boolean {
     const isReady =
-      !this.#isStopping && this.#gateway.version >= 0 && this.#replica.hasRegistrations;
+      !this.#isStopping &&
+      this.#gateway.version >= 0 &&
+      this.#replica.hasRegistrations &&
+      this.#replica.hasEvacuations;
     if (isReady !== this.#wasReady) {
       this.#wasReady = isReady;
       this.#options.log.info('readiness', { isReady, configVersion: this.#gateway.version });
@@ -271,11 +274,12 @@
 
   /** Logs what a start waits for, of which nothing else shows that it has not happened. */
   #reportStart(sinceStartMs: number): void {
-    const { failingSince, hasRegistrations } = this.#replica;
+    const { failingSince, hasRegistrations, hasEvacuations } = this.#replica;
     this.#options.log.warn('not-ready', {
       sinceStartMs: Math.round(sinceStartMs),
       hasConfig: this.#gateway.version >= 0,
       hasRegistrations,
+      hasEvacuations,
       isStoreLost: failingSince !== undefined,
       storeReader: this.#peerSync.source,
       peers: this.#peerSync.peerCount,
@@ -297,6 +301,7 @@
       configVersion: this.#gateway.version,
       outOfReach: this.#gateway.servicesOutOfReach,
       asking: this.#gateway.askingEndpoints,
+      evacuations: this.#replica.evacuations,
       settings: settings.status,
     };
   }
--- a/packages/gateway/src/preference.ts
+++ b/packages/gateway/src/preference.ts
@@ -8,14 +8,20 @@
 /** Mean number of instances of a failure domain that use the same local endpoint. */
 const meanUsers = 4;
 
-/** Number of endpoints in other failure domains that an instance considers for a call. */
+/**
+ * Number of endpoints in other failure domains that an instance considers for a call, while it has
+ * local ones.
+ */
 const remoteSubsetSize = 4;
 
-/** Endpoints of a service that an instance considers first, and the other local ones. */
+/**
+ * Endpoints of a service that an instance considers first, and the other local ones. Without usable
+ * local endpoints, as in an evacuated failure domain, those of all other domains take their place.
+ */
 export interface EndpointSubsets {
   readonly local: readonly Endpoint[];
   readonly remote: readonly Endpoint[];
-  /** Local endpoints that are used when those of the subset have no capacity. */
+  /** Endpoints that are used when those of `local` have no capacity. */
   readonly furtherLocal: readonly Endpoint[];
 }
 
@@ -57,15 +63,21 @@
     fleetSize: number,
   ): EndpointSubsets {
     const { local, remote, domainCount } = this.#getOrCreateOrder(endpoints);
-    const localInstances = Math.max(1, fleetSize / domainCount);
-    const localSize = Math.max(
-      minSubsetSize,
-      Math.ceil((meanUsers * local.length) / localInstances),
-    );
     const usableLocal = selectUsable(local, tried);
+    const usableRemote = selectUsable(remote, tried);
+    if (usableLocal.length === 0) {
+      // Such an instance uses its part of the endpoints of all domains.
+      const size = calculateSubsetSize(remote.length, fleetSize);
+      return {
+        local: usableRemote.slice(0, size),
+        remote: [],
+        furtherLocal: usableRemote.slice(size),
+      };
+    }
+    const localSize = calculateSubsetSize(local.length, fleetSize / domainCount);
     return {
       local: usableLocal.slice(0, localSize),
-      remote: selectUsable(remote, tried).slice(0, remoteSubsetSize),
+      remote: usableRemote.slice(0, remoteSubsetSize),
       furtherLocal: usableLocal.slice(localSize),
     };
   }
@@ -88,6 +100,15 @@
   }
 }
 
+/**
+ * Calculates how many endpoints of a group an instance uses.
+ *
+ * @param instances - Number of instances that share the group.
+ */
+function calculateSubsetSize(endpoints: number, instances: number): number {
+  return Math.max(minSubsetSize, Math.ceil((meanUsers * endpoints) / Math.max(1, instances)));
+}
+
 /**
  * @returns The endpoints that were not tried and may get a request now; only the reachable ones
  * unless there are none.
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -45,6 +45,7 @@
    */
   async probe(endpoint: Endpoint): Promise<boolean> {
     const { id, service } = endpoint.registration;
+    if (endpoint.isEvacuated) return false;
     if (!endpoint.backpressure.allowsProbes) return endpoint.isReachable;
     const running = this.#running.get(id);
     if (running) return running;
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -1,6 +1,6 @@
 import { BackpressureTable } from '@dotterelpass/backpressure';
 import type { Logger } from '@dotterelpass/telemetry';
-import type { Clock, EndpointId, Random, ServiceId } from '@dotterelpass/values';
+import type { Clock, EndpointId, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import { Endpoint } from './endpoint.js';
 import type { AskingEndpoint } from './summary.js';
@@ -29,6 +29,11 @@
   /** Endpoints that are ready for calls. */
   #readyByService = new Map<ServiceId, readonly Endpoint[]>();
 
+  #evacuated: ReadonlySet<FailureDomain> = new Set();
+
+  /** Evacuated failure domains in which services have ready endpoints. */
+  #evacuatedByService = new Map<ServiceId, Set<FailureDomain>>();
+
   constructor(options: EndpointRegistryOptions) {
     this.#options = options;
     this.#backpressure = new BackpressureTable(options);
@@ -39,13 +44,31 @@
   }
 
   /**
-   * @returns The endpoints of a service that are registered and not draining. The list stays the
-   * same until they change.
+   * @returns The endpoints of a service that are registered, not draining and not in an evacuated
+   * failure domain. The list stays the same until they change.
    */
   listReady(service: ServiceId): readonly Endpoint[] {
     return this.#readyByService.get(service) ?? [];
   }
 
+  /**
+   * Finds out whether a service has no endpoint left because of evacuations.
+   *
+   * @returns The evacuated failure domains of its endpoints; undefined when others have ready ones, or
+   * none is registered.
+   */
+  findEvacuation(service: ServiceId): readonly FailureDomain[] | undefined {
+    if (this.#readyByService.has(service)) return undefined;
+    const domains = this.#evacuatedByService.get(service);
+    return domains && [...domains].sort();
+  }
+
+  /** @param evacuated - All failure domains whose endpoints get nothing more. */
+  setEvacuated(evacuated: ReadonlySet<FailureDomain>): void {
+    this.#evacuated = evacuated;
+    this.#groupReady();
+  }
+
   find(id: EndpointId): Endpoint | undefined {
     return this.#endpoints.get(id);
   }
@@ -79,14 +102,22 @@
 
   #groupReady(): void {
     const services = new Map<ServiceId, Endpoint[]>();
+    const evacuatedByService = new Map<ServiceId, Set<FailureDomain>>();
     this.#endpoints.forEach((endpoint) => {
-      const { service, state } = endpoint.registration;
+      const { service, state, failureDomain } = endpoint.registration;
+      endpoint.setEvacuated(this.#evacuated.has(failureDomain));
       if (state !== 'ready') return;
+      if (endpoint.isEvacuated) {
+        const domains = evacuatedByService.get(service) ?? new Set();
+        evacuatedByService.set(service, domains.add(failureDomain));
+        return;
+      }
       const ready = services.get(service);
       if (ready) ready.push(endpoint);
       else services.set(service, [endpoint]);
     });
     this.#readyByService = services;
+    this.#evacuatedByService = evacuatedByService;
   }
 
   /** Applies the present connection limits of the services to all endpoints. */
@@ -101,17 +132,18 @@
     this.#endpoints.forEach((endpoint) => endpoint.close());
   }
 
-  /** @returns Whether the endpoint is new or its state has changed. */
+  /** @returns Whether the endpoint is new or its state or failure domain has changed. */
   #addOrUpdate(registration: Registration): boolean {
     const existing = this.#endpoints.get(registration.id);
     if (existing && isSameProcess(existing.registration, registration)) {
-      const hasChanged = existing.registration.state !== registration.state;
-      if (hasChanged) {
+      const hasNewState = existing.registration.state !== registration.state;
+      const hasMoved = existing.registration.failureDomain !== registration.failureDomain;
+      if (hasNewState) {
         const { id, service, state } = registration;
         this.#options.log.info('endpoint-state', { endpoint: id, service, state });
       }
       existing.setRegistration(registration);
-      return hasChanged;
+      return hasNewState || hasMoved;
     }
     if (existing) this.#remove(registration.id, 'restarted');
     const connections =
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -4,26 +4,14 @@
 import type { KeyValueStore, PlatformError, StoreItem, StorePosition } from '@dotterelpass/store';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, Random } from '@dotterelpass/values';
-import type { GatewayConfig, Registration } from './catalog.js';
+import type { Registration } from './catalog.js';
 import { ChangeLog } from './changes.js';
 import type { RegistrationChanges } from './changes.js';
+import { OperatorKeys } from './operator-keys.js';
+import type { EvacuationStatus, OperatorUpdate } from './operator-keys.js';
+import type { ReplicaTarget, StoreSchema } from './schema.js';
 
-/** Keys of the configuration and the registrations in the store, and their decoders. */
-export interface StoreSchema {
-  /** Key of the configuration that operators write. */
-  readonly configKey: string;
-  /** Prefix of the keys of registrations. */
-  readonly registrationPrefix: string;
-  decodeConfig(value: Buffer): Result<GatewayConfig, string>;
-  decodeRegistration(key: string, value: Buffer): Result<Registration, string>;
-}
-
-/** Receives the configuration and the registrations. */
-export interface ReplicaTarget {
-  readonly version: number;
-  setConfig(config: GatewayConfig, source: string): void;
-  setRegistrations(registrations: readonly Registration[]): void;
-}
+export type { EvacuationKeys, ReplicaTarget, StoreSchema } from './schema.js';
 
 export interface ReplicaOptions {
   readonly store: KeyValueStore;
@@ -37,12 +25,6 @@
   onChange(): void;
 }
 
-/**
- * Timeout of one watch request. A connection that silently stopped working is only noticed when the
- * request ends, so the timeout bounds the delay of a configuration change.
- */
-const watchTimeoutMs = 2500;
-
 /** Age at which the registrations are read from the store again. */
 const pollIntervalMs = 1500;
 
@@ -55,15 +37,6 @@
 /** Time after a request between two instances for which one is assumed to read for the other. */
 const readerRoleMs = 3000;
 
-/**
- * Time between the first reading of the configuration and the first watch. Most instances find
- * another one meanwhile that watches for them.
- */
-const firstWatchDelayMs = 1000;
-
-/** Time between two checks whether the store has answered again. */
-const recoveryCheckMs = 100;
-
 /** Bounds of the back-off after a failed store call. */
 const minBackoffMs = 100;
 const maxBackoffMs = 400;
@@ -95,11 +68,7 @@
 }
 
 /** State that one instance sends to another. */
-export interface ReplicaUpdate {
-  /** The configuration; undefined when the receiver already has this version. */
-  readonly catalog: StoreItem | undefined;
-  /** Time since the configuration was last confirmed to be current, in milliseconds. */
-  readonly catalogAgeMs: number;
+export interface ReplicaUpdate extends OperatorUpdate {
   readonly registrations: RegistrationChanges;
   /**
    * Time since the registrations were read from the store, in milliseconds. A listing without those
@@ -117,19 +86,7 @@
 
   readonly #changeLog: ChangeLog;
 
-  /** The newest configuration in the store or from another instance. */
-  #configItem: StoreItem | undefined;
-
-  #configVersion = -1;
-
-  /** When the configuration was last confirmed to be current. */
-  #configCheckedAt = -Infinity;
-
-  /** Epoch of the pending watch request for the configuration; undefined without one. */
-  #watchedEpoch: number | undefined;
-
-  /** Until when the configuration from another instance is fresh, so that no watch is needed. */
-  #configFreshUntil = -Infinity;
+  readonly #operatorKeys: OperatorKeys;
 
   /** Epoch of the store in the last listing or update; -1 before the first. */
   #epoch = -1;
@@ -173,6 +130,16 @@
     this.#options = options;
     this.#startedAt = options.clock.now();
     this.#changeLog = new ChangeLog((item) => this.#decodeRegistration(item));
+    this.#operatorKeys = new OperatorKeys({
+      ...options,
+      isStopped: () => this.#stopped,
+      isListingFailing: () => this.#isListingFailing,
+      recordResult: <T>(
+        result: Result<T, PlatformError>,
+      ): result is Extract<Result<T, PlatformError>, { value: T }> =>
+        this.#recordResult('configuration', result),
+      waitToRetry: (backoff) => this.#waitToRetry(backoff),
+    });
   }
 
   /** Start of the present store outage, in monotonic milliseconds; undefined without one. */
@@ -185,6 +152,16 @@
     return this.#changeLog.isLoaded;
   }
 
+  /** Whether the evacuations have been read at least once, or are disabled. */
+  get hasEvacuations(): boolean {
+    return this.#operatorKeys.hasEvacuations;
+  }
+
+  /** The evacuations in force; undefined when they are disabled. */
+  get evacuations(): readonly EvacuationStatus[] | undefined {
+    return this.#operatorKeys.evacuations;
+  }
+
   /** Time since the registrations were read from the store, in milliseconds. */
   get registrationsAgeMs(): number {
     return this.#options.clock.now() - this.#registrationsReadAt;
@@ -192,19 +169,20 @@
 
   /** Whether both configuration and registrations are too recent to read them from the store. */
   get isFresh(): boolean {
-    return (
-      this.registrationsAgeMs < pollIntervalMs && this.#options.clock.now() < this.#configFreshUntil
-    );
+    return this.registrationsAgeMs < pollIntervalMs && this.#operatorKeys.isFresh;
   }
 
   /** Progress of this replica, from which another instance finds what is newer. */
   get progress(): ReplicaProgress {
-    return { registrations: this.#changeLog.position, configVersion: this.#configVersion };
+    return {
+      registrations: this.#changeLog.position,
+      configVersion: this.#operatorKeys.configVersion,
+    };
   }
 
   /** Starts to watch the configuration and to poll the registrations, until `stop`. */
   start(): void {
-    void this.#watchConfig();
+    void this.#operatorKeys.start();
     void this.#pollRegistrations();
   }
 
@@ -230,10 +208,7 @@
   buildUpdate({ registrations, configVersion }: ReplicaProgress): ReplicaUpdate {
     const now = this.#options.clock.now();
     return {
-      // Only the version tells which configuration is newer: a store that is restored from a copy
-      // assigns its revisions again.
-      catalog: this.#configVersion > configVersion ? this.#configItem : undefined,
-      catalogAgeMs: now - this.#configCheckedAt,
+      ...this.#operatorKeys.buildUpdate(configVersion),
       registrations: this.#changeLog.getChangesSince(registrations),
       listedAgeMs: now - this.#completeAt,
     };
@@ -245,14 +220,10 @@
    * @param update - The update, with its ages adjusted for the transfer time.
    * @param source - Id of the instance, for the log.
    */
-  mergeUpdate(
-    { catalog, catalogAgeMs, registrations, listedAgeMs }: ReplicaUpdate,
-    source: string,
-  ): void {
+  mergeUpdate(update: ReplicaUpdate, source: string): void {
+    const { registrations, listedAgeMs } = update;
     const now = this.#options.clock.now();
-    if (catalog) this.#applyConfig(catalog, source);
-    this.#configCheckedAt = Math.max(this.#configCheckedAt, now - catalogAgeMs);
-    this.#configFreshUntil = Math.max(this.#configFreshUntil, now - catalogAgeMs + pollIntervalMs);
+    this.#operatorKeys.mergeUpdate(update, source);
     const { position, isWhole } = registrations;
     if (position.epoch < 0 || comparePositions(position, this.#changeLog.position) < 0) return;
     const isFirst = !this.hasRegistrations;
@@ -271,58 +242,6 @@
     if (hasNews || this.#registrationsReadAt > earlierReadAt) this.#options.onChange();
   }
 
-  async #watchConfig(): Promise<void> {
-    const { store, schema, random, log, clock } = this.#options;
-    const backoff = new Backoff(random, minBackoffMs, maxBackoffMs);
-    /** Where the next watch continues; undefined when the configuration must be read first. */
-    let position: StorePosition | undefined;
-    while (!this.#stopped) {
-      const freshMs = this.#configFreshUntil - clock.now();
-      if (freshMs > 0) {
-        position = undefined;
-        await sleep(Math.ceil(freshMs));
-        continue;
-      }
-      if (this.#isListingFailing) {
-        // In an outage, one task finds out when the store is back: refused calls cost as well.
-        position = undefined;
-        await sleep(recoveryCheckMs);
-        continue;
-      }
-      if (position === undefined) {
-        const result = await store.read(schema.configKey);
-        if (this.#recordResult('configuration', result)) {
-          const isFirst = this.#configCheckedAt === -Infinity;
-          if (result.value.item) this.#applyConfig(result.value.item, 'store');
-          this.#configCheckedAt = clock.now();
-          if (isFirst) this.#configFreshUntil = clock.now() + firstWatchDelayMs;
-          ({ position } = result.value);
-          backoff.reset();
-        } else await this.#waitToRetry(backoff);
-        continue;
-      }
-      this.#watchedEpoch = position.epoch;
-      const changes = await store.watch(schema.configKey, position, watchTimeoutMs);
-      this.#watchedEpoch = undefined;
-      if (!this.#recordResult('configuration', changes)) {
-        // The connection may have missed a change, so the configuration is read again.
-        position = undefined;
-        continue;
-      }
-      if (changes.value.kind === 'forgotten') {
-        log.warn('history-forgotten', { after: position });
-        position = undefined;
-        await backoff.sleep();
-        continue;
-      }
-      changes.value.items
-        .filter(({ key }) => key === schema.configKey)
-        .forEach((item) => this.#applyConfig(item, 'store'));
-      this.#configCheckedAt = clock.now();
-      ({ position } = changes.value);
-    }
-  }
-
   async #pollRegistrations(): Promise<void> {
     const { store, schema, random, clock } = this.#options;
     const backoff = new Backoff(random, minBackoffMs, maxBackoffMs);
@@ -344,8 +263,7 @@
       this.#registrationsReadAt = Math.max(this.#registrationsReadAt, startedAt);
       this.#recordEpoch(listing.value.position);
       // The store responds, so a pending watch would have reported a change of the configuration.
-      const isWatched = this.#watchedEpoch === listing.value.position.epoch;
-      if (isWatched) this.#configCheckedAt = startedAt;
+      this.#operatorKeys.confirmWatch(listing.value.position, startedAt);
       const keepMissing = clock.now() < this.#keepMissingUntil;
       const isComplete = this.#changeLog.applyListing(listing.value, keepMissing);
       if (isComplete) {
@@ -359,7 +277,8 @@
 
   async #waitToRetry(backoff: Backoff): Promise<void> {
     await backoff.sleep();
-    const isReady = this.hasRegistrations && this.#options.target.version >= 0;
+    const isReady =
+      this.hasRegistrations && this.hasEvacuations && this.#options.target.version >= 0;
     if (isReady && this.#options.clock.now() < this.#followingUntil)
       await sleep(followerRetryDelayMs);
   }
@@ -426,22 +345,6 @@
     log.warn('store-restored', { before, now: epoch });
   }
 
-  #applyConfig(item: StoreItem, source: string): void {
-    const { schema, target, log, metrics } = this.#options;
-    const config = schema.decodeConfig(item.value);
-    if (config.isErr()) {
-      metrics.recordEvent('configuration-unreadable');
-      log.error('configuration-unreadable', { revision: item.revision, reason: config.error });
-      return;
-    }
-    const { version } = config.value;
-    if (version <= this.#configVersion) return;
-    this.#configItem = item;
-    this.#configVersion = version;
-    target.setConfig(config.value, source);
-    this.#options.onChange();
-  }
-
   #decodeRegistration({ key, value, revision }: StoreItem): Registration | undefined {
     const decoded = this.#options.schema.decodeRegistration(key, value);
     if (decoded.isOk()) return decoded.value;
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -78,7 +78,7 @@
 }
 
 /** Outcomes of attempts of which no byte was sent. */
-const unsentOutcomes: ReadonlySet<string> = new Set(['unreachable', 'no-connection']);
+const unsentOutcomes: ReadonlySet<string> = new Set(['unreachable', 'no-connection', 'evacuated']);
 
 /** @returns Number of attempts that reached an endpoint, or may have. */
 export function countSent(records: readonly AttemptRecord[]): number {
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,6 +1,6 @@
 import { copyEndToEndHeaders, isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
-import type { Verdict } from '@dotterelpass/values';
+import type { FailureDomain, ServiceId, Verdict } from '@dotterelpass/values';
 import { isPick } from './admission.js';
 import type { Admission, AdmissionOptions, CallAdmission } from './admission.js';
 import type { BackpressureRecorder } from './backpressure.js';
@@ -30,6 +30,8 @@
   readonly picker: Picker;
   readonly latency: LatencyEstimator;
   readonly retries: RetryPolicy;
+  /** Returns the failure domains of a service's endpoints, if all of them are evacuated. */
+  findEvacuation(service: ServiceId): readonly FailureDomain[] | undefined;
   /** Called when a connection was reset while the endpoint may have been running a call. */
   onConnectionReset(call: Call, endpoint: Endpoint): void;
 }
@@ -65,7 +67,7 @@
     records: AttemptRecord[],
     { mayWait }: AdmissionOptions = { mayWait: true },
   ): Promise<CallResult> {
-    const { retries } = this.#options;
+    const { retries, findEvacuation } = this.#options;
     let isCounted = false;
     let worstVerdict: Verdict = 'not-run';
     let lastFailure: CallFailure = {
@@ -81,9 +83,10 @@
         return addRetryBlock(this.#addReturnTime(call, failure), block, records);
       }
       const isRetry = countSent(records) > 0;
-      const pick = await this.#options.admission.admitCall(call, records, {
-        mayWait: mayWait || isRetry,
-      });
+      // Calls that wait for an endpoint must not hold up one that has none.
+      const pick = findEvacuation(call.service)
+        ? undefined
+        : await this.#options.admission.admitCall(call, records, { mayWait: mayWait || isRetry });
       if (call.incoming.cancellation.aborted) {
         const failure = { ...createCancelledFailure(), verdict: worstVerdict };
         return addRetryBlock(failure, 'caller-left', records);
@@ -91,11 +94,11 @@
       if (!isPick(pick)) {
         const failure = isRetry
           ? { ...lastFailure, verdict: worstVerdict }
-          : createUnsentFailure(call, pick);
+          : createUnsentFailure(call, pick, findEvacuation(call.service));
         return addRetryBlock(this.#addReturnTime(call, failure), getBlockReason(pick), records);
       }
       // Another call may have taken the last request that the endpoint allows.
-      if (!pick.endpoint.backpressure.takeRequest()) continue;
+      if (pick.endpoint.isEvacuated || !pick.endpoint.backpressure.takeRequest()) continue;
       // A call that is handed over is counted by the instance that sends it to an endpoint.
       if (!isCounted) retries.recordCall(call);
       isCounted = true;
@@ -153,7 +156,8 @@
     const secondPick = await this.#pick(call, records);
     if (!secondPick || !hasSpareCapacity(secondPick.endpoint) || incoming.cancellation.aborted)
       return first;
-    if (!secondPick.endpoint.backpressure.takeRequest()) return first;
+    const { endpoint } = secondPick;
+    if (endpoint.isEvacuated || !endpoint.backpressure.takeRequest()) return first;
     this.#options.retries.recordAttempt(call, 'hedge');
     const secondCancellation = incoming.cancellation.makeChild();
     const second = this.#sendAttempt(call, secondPick, records, secondCancellation);
@@ -288,6 +292,10 @@
       finish('no-connection', 'cancelled');
       return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'connection', message };
     }
+    if (verdict === 'not-run' && endpoint.isEvacuated) {
+      finish('evacuated', 'cancelled');
+      return { kind: 'failed', verdict, reason: 'no-endpoint', message };
+    }
     if (verdict === 'not-run') {
       finish('unreachable', 'unreachable');
       return { kind: 'failed', verdict, reason: 'no-endpoint', message };
@@ -316,8 +324,17 @@
   return admission ?? 'no-endpoint';
 }
 
-function createUnsentFailure({ service }: Call, pick: Exclude<Admission, Pick>): CallFailure {
+function createUnsentFailure(
+  { service }: Call,
+  pick: Exclude<Admission, Pick>,
+  evacuated: readonly FailureDomain[] | undefined,
+): CallFailure {
   const verdict = 'not-run';
+  if (evacuated) {
+    const domains = evacuated.join(', ');
+    const message = `all endpoints of service ${service} are in evacuated failure domains: ${domains}`;
+    return { kind: 'failed', verdict, reason: 'evacuated', message };
+  }
   if (typeof pick === 'object') {
     return {
       kind: 'failed',
--- a/packages/gateway/src/summary.ts
+++ b/packages/gateway/src/summary.ts
@@ -1,5 +1,6 @@
 import type { BackpressureStatus } from '@dotterelpass/backpressure';
 import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
+import type { EvacuationStatus } from './operator-keys.js';
 import type { SettingsStatus } from './settings.js';
 
 /** An endpoint that asks for less than usual, as one instance knows it. */
@@ -20,6 +21,8 @@
   readonly outOfReach?: readonly ServiceId[];
   /** What endpoints ask it for; undefined for an instance of an older version. */
   readonly asking?: readonly AskingEndpoint[];
+  /** Evacuations in force; undefined where they are disabled. */
+  readonly evacuations?: readonly EvacuationStatus[] | undefined;
   readonly settings: SettingsStatus;
 }
 
@@ -40,6 +43,7 @@
     'CONFIG',
     'SETTINGS',
     'SINCE',
+    'EVACUATED',
     'OUT OF REACH',
     'ASKING',
     'LAST RELOAD',
@@ -58,14 +62,24 @@
 }
 
 function formatAnswer(answer: FleetAnswer): readonly string[] {
-  if ('error' in answer) return [answer.instance, ...Array<string>(6).fill('?'), answer.error];
+  if ('error' in answer) return [answer.instance, ...Array<string>(7).fill('?'), answer.error];
   const { instance, isReady, isStopping, configVersion, outOfReach = [], settings } = answer;
   const asking = String(answer.asking?.length ?? '?');
   const ready = isStopping ? 'stopping' : String(isReady);
   const { digest, since, lastReload } = settings;
+  const evacuated = formatEvacuations(answer.evacuations);
   const unreached = outOfReach.length > 0 ? outOfReach.join(',') : '-';
   const reload = formatReload(lastReload);
-  return [instance, ready, String(configVersion), digest, since, unreached, asking, reload];
+  const version = String(configVersion);
+  return [instance, ready, version, digest, since, evacuated, unreached, asking, reload];
+}
+
+/** @returns Failure domains with the epochs and revisions at which it was asked for. */
+function formatEvacuations(evacuations: InstanceSummary['evacuations'] = []): string {
+  const entries = evacuations.map(
+    ({ domain, askedAt: { epoch, revision } }) => `${domain}@${epoch}/${revision}`,
+  );
+  return entries.length > 0 ? entries.join(',') : '-';
 }
 
 function formatReload(record: SettingsStatus['lastReload']): string {
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -310,7 +310,7 @@
     networkMs: number,
   ): void {
     const { replica, fleet, log } = this.#options;
-    const { registrations, catalog } = update;
+    const { registrations, catalog, evacuations } = update;
     const listedAgeMs = update.listedAgeMs + networkMs;
     const { items, removed, position } = registrations;
     if (items.length > 0 || removed.length > 0 || catalog) {
@@ -324,7 +324,7 @@
       });
     }
     const catalogAgeMs = update.catalogAgeMs + networkMs;
-    replica.mergeUpdate({ catalog, registrations, listedAgeMs, catalogAgeMs }, peer);
+    replica.mergeUpdate({ catalog, evacuations, registrations, listedAgeMs, catalogAgeMs }, peer);
     fleet.mergeUpdate({ ...fleetUpdate, ageMs: fleetUpdate.ageMs + networkMs });
   }
 
--- a/packages/gateway/test/preference.test.ts
+++ b/packages/gateway/test/preference.test.ts
@@ -69,6 +69,30 @@
     expect(after.filter((id) => !before.includes(id))).toHaveLength(1);
   });
 
+  /**
+   * Guards against an instance of an evacuated failure domain whose calls all go to a few endpoints
+   * elsewhere, while others there are idle.
+   */
+  it.each([
+    { name: 'that has none', excluded: 'removed' },
+    { name: 'whose local endpoints were all tried', excluded: 'tried' },
+  ])('selects as many endpoints elsewhere as local ones for a call $name', ({ excluded }) => {
+    const list = makeEndpoints(37, 4);
+    const isLocal = ({ registration }: Endpoint) => registration.failureDomain === 'z0';
+    const locals = list.filter(isLocal);
+    const listed = excluded === 'removed' ? list.filter((endpoint) => !isLocal(endpoint)) : list;
+    const tried = excluded === 'tried' ? locals.map(({ registration: { id } }) => id) : [];
+    const select = (index: number) => makePreference(index).selectSubsets(listed, tried, 50);
+    const usualSize = makePreference(0).selectSubsets(list, [], 50).local.length;
+    const { local, remote, furtherLocal } = select(0);
+    expect(Math.abs(local.length - usualSize)).toBeLessThanOrEqual(4);
+    expect(local.length + furtherLocal.length).toBe(3 * 37);
+    expect(remote).toEqual([]);
+    // Each instance has an order of its own, so the calls of a domain spread over all endpoints.
+    const used = Array.from({ length: 13 }, (_, index) => listIds(select(index).local)).flat();
+    expect(new Set(used).size).toBeGreaterThan(60);
+  });
+
   it('excludes tried endpoints, and unreachable ones while others are reachable', () => {
     const list = makeEndpoints(3, 1);
     const tried = ['e0' as EndpointId];
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -111,6 +111,7 @@
     target: {
       version: 0,
       setConfig: (_catalog: GatewayConfig) => undefined,
+      setEvacuations: () => undefined,
       setRegistrations: (list) => {
         appliedIds.push(list.map(({ id }) => id));
       },
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -157,6 +157,16 @@
     this.#queue.splice(index, 1).forEach((removed) => removed.onSocket(undefined));
   }
 
+  /** Destroys the requests that wait for a connection. */
+  abortQueued(): void {
+    const queued = this.#queue;
+    this.#queue = [];
+    queued.forEach((request) => {
+      request.destroy(new Error('the request no longer waits for a connection'));
+      request.onSocket(undefined);
+    });
+  }
+
   override destroy(): void {
     clearInterval(this.#sweepTimer);
     this.#sweepTimer = undefined;
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -148,6 +148,11 @@
     this.#agent.closeIdle();
   }
 
+  /** Ends the requests that wait for a connection; no byte of them has been sent. */
+  abortQueued(): void {
+    this.#agent.abortQueued();
+  }
+
   /** Closes idle connections now, and each of the others when its request has ended. */
   drain(): void {
     this.#stallDetector.close();
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -24,14 +24,21 @@
   readonly position: StorePosition;
 }
 
+/** A key that was deleted. */
+export interface RemovedKey extends StorePosition {
+  readonly key: string;
+}
+
 /**
- * Result of a watch: the changed items, or `forgotten` when the store does not have all changes
+ * Result of a watch: the changed items and the deleted keys, or `forgotten` when the store does not have all changes
  * after the requested position, which includes that it was restored.
  */
 export type WatchResult =
   | {
       readonly kind: 'changes';
       readonly items: readonly StoreItem[];
+      /** Deleted keys with the epochs and revisions of their deletion. */
+      readonly removed: readonly RemovedKey[];
       readonly position: StorePosition;
     }
   | { readonly kind: 'forgotten' };
