Limit the requests to cold endpoints over all instances

Cause: an endpoint that is cold takes few requests a second from all instances together, and may turn cold at any moment. Change: an endpoint is cold while its registration or its last health check says so; the registration is read anew when it changes, and a warm-up that begins is told to other instances. Each attempt to an endpoint that is cold, or of which no health check of the last 3 s shows whether it is, takes a token of a FleetLimiter, where its service has warmup_per_s. Without a token the endpoint is left alone until one is due, and the call goes elsewhere, waits or is refused. The token is given back for a 421 answer and for a request that did not reach the endpoint. Operators see cold endpoints and what they got.

--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -155,7 +155,8 @@
       // After a restore, instances that have only read the copy need what is written again.
       const isUnchanged =
         existing?.item.epoch === item.epoch &&
-        isSameRegistration(existing.registration, registration);
+        isSameRegistration(existing.registration, registration) &&
+        !hasTurnedCold(existing.registration, registration);
       // Changes contain later items while their sender keeps missing registrations.
       const readAt = comparePositions(item, position) > 0 ? item : position;
       const changedAt = isUnchanged ? existing.changedAt : readAt;
@@ -209,6 +210,14 @@
   }
 }
 
+/** Whether a later registration of an endpoint has a longer warm-up time than the earlier one. */
+function hasTurnedCold(
+  earlier: Registration | undefined,
+  later: Registration | undefined,
+): boolean {
+  return earlier !== undefined && later !== undefined && later.warmupMs > earlier.warmupMs;
+}
+
 /**
  * Compares registrations without their warm-up times, which are counted from the first registration
  * of an endpoint.
--- a/packages/gateway/src/codec.ts
+++ b/packages/gateway/src/codec.ts
@@ -49,6 +49,8 @@
   /** Id of the endpoint that responded; undefined when the response does not contain it. */
   readonly id: EndpointId | undefined;
   readonly report: LoadReport | undefined;
+  /** Time for which the endpoint is still cold, in milliseconds; undefined when it states none. */
+  readonly warmupMs?: number | undefined;
 }
 
 /** Reads and writes the headers that callers and endpoints use. */
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import type { LoadReport } from './codec.js';
+import { EndpointWarmup } from './warmup.js';
 
 /** Outcome of an attempt, for the failure and shed scores of its endpoint. */
 export type AttemptEnding = 'answered' | 'failed' | 'shed' | 'unreachable' | 'cancelled';
@@ -34,8 +35,6 @@
 
   #registration: Registration;
 
-  #warmUntil: number;
-
   #report: LoadReport | undefined;
 
   #reportedAt = -Infinity;
@@ -70,6 +69,8 @@
   /** What the endpoint asks for in its answers. */
   readonly backpressure: EndpointBackpressure;
 
+  readonly warmup: EndpointWarmup;
+
   constructor(
     registration: Registration,
     maxConnections: number,
@@ -79,7 +80,7 @@
     this.backpressure = backpressure;
     this.#clock = clock;
     this.#registration = registration;
-    this.#warmUntil = clock.now() + registration.warmupMs;
+    this.warmup = new EndpointWarmup(clock, registration.warmupMs);
     this.#pool = new ConnectionPool(registration.address, maxConnections, {
       connectTimeoutMs,
       idleMs: defaultIdleMs,
@@ -111,7 +112,20 @@
   }
 
   get isWarm(): boolean {
-    return this.#clock.now() >= this.#warmUntil;
+    return !this.warmup.isCold;
+  }
+
+  /** Whether the endpoint lets this instance send a request now. */
+  get allowsRequest(): boolean {
+    return this.findNextRequestAt() <= this.#clock.now();
+  }
+
+  /**
+   * @returns The earliest monotonic time at which a request may be sent, in milliseconds; infinite
+   * for an endpoint that is leaving.
+   */
+  findNextRequestAt(): number {
+    return Math.max(this.backpressure.findNextRequestAt(), this.warmup.notBefore);
   }
 
   /** Whether the endpoint is not ejected after a failed connection or probe. */
@@ -159,6 +173,8 @@
 
   /** @param registration - New registration of the same process. */
   setRegistration(registration: Registration): void {
+    // A registration that was not written again has no new warm-up time.
+    if (registration !== this.#registration) this.warmup.setRegistered(registration.warmupMs);
     this.#registration = registration;
   }
 
@@ -252,6 +268,7 @@
       isFull: this.#isFull,
       isHealthy: this.#isHealthy,
       isWarm: this.isWarm,
+      warmup: this.warmup.readStatus(),
       asksFor: this.backpressure.readStatus(),
       failureScore: this.failureScore,
       shedScore: this.shedScore,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import type { EvacuatedDomain } from '@dotterelpass/evacuation';
 import { CallerServer } from '@dotterelpass/proxy';
+import type { FleetLimiter } from '@dotterelpass/quota';
 import { RetryBudget } from '@dotterelpass/retries';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type {
@@ -28,10 +29,12 @@
 import { RecentFailures } from './failures.js';
 import { ReachMonitor } from './reach.js';
 import { EndpointRegistry } from './registry.js';
-import type { AskingEndpoint } from './summary.js';
+import type { AskingEndpoint, ColdEndpoint } from './summary.js';
 import { CallRecorder } from './recorder.js';
 import { RetryPolicy } from './retries.js';
 import { RouteTable } from './routes.js';
+import { UnlimitedLimiter } from './unlimited.js';
+import { WarmupGate } from './warmup.js';
 import { LatencyEstimator } from './latency.js';
 
 /** Limits that apply to all instances together. */
@@ -56,6 +59,8 @@
   readonly random: Random;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Hands out the tokens of limits that all instances share; by default, there are no limits. */
+  readonly limiter?: FleetLimiter;
   /** Called when an endpoint has crashed while it ran a request that is a suspect because of it. */
   onSuspect(fingerprint: string, incarnation: Incarnation): void;
   /** Called when a request is banned because endpoints seem to have crashed while running it. */
@@ -132,16 +137,24 @@
       limits.retryWindowMs,
     ).unref();
     const backpressure = new BackpressureRecorder({ headerCodec, log, metrics });
+    const warmup = new WarmupGate({
+      limiter: options.limiter ?? new UnlimitedLimiter(),
+      log,
+      metrics,
+      findRate: (service) => this.#config?.services.get(service)?.warmupRatePerSecond,
+    });
     this.#registry = new EndpointRegistry({
       clock,
       random,
       log,
       getFleetSize: () => this.#fleetSize,
       calculateConnectionLimit: (service) => this.#calculateConnectionLimit(service),
+      onListed: (endpoint) => warmup.reportChange(endpoint, 'registration'),
     });
     this.#prober = new Prober({
       headerCodec,
       backpressure,
+      warmup,
       metrics,
       getMaxProbesPerSecond: () =>
         (this.#limits.probesPerSecond * limitSafetyFactor * this.#registry.size) / this.#fleetSize,
@@ -161,6 +174,7 @@
       headerCodec,
       admission: this.#admission,
       backpressure,
+      warmup,
       picker,
       latency: this.#latency,
       findEvacuation: (service) => this.#registry.findEvacuation(service),
@@ -263,6 +277,13 @@
     return this.#registry.listAsking();
   }
 
+  /** The cold endpoints of the services that limit what these get. */
+  get coldEndpoints(): readonly ColdEndpoint[] {
+    const hasLimit = ({ service }: ColdEndpoint) =>
+      this.#config?.services.get(service)?.warmupRatePerSecond !== undefined;
+    return this.#registry.listCold().filter(hasLimit);
+  }
+
   /** See {@link CallHandover.setPeers}. */
   setPeers(addresses: ReadonlyMap<InstanceId, string>): void {
     this.#handover.setPeers(addresses);
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -302,6 +302,7 @@
       outOfReach: this.#gateway.servicesOutOfReach,
       asking: this.#gateway.askingEndpoints,
       evacuations: this.#replica.evacuations,
+      cold: this.#gateway.coldEndpoints,
       settings: settings.status,
     };
   }
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -160,7 +160,7 @@
     const times = this.#options
       .listEndpoints(service)
       .filter(({ registration: { id }, isReachable }) => isReachable && !tried.includes(id))
-      .map(({ backpressure }) => backpressure.findNextRequestAt())
+      .map((endpoint) => endpoint.findNextRequestAt())
       .filter((time) => time < Infinity);
     return times.length > 0 ? Math.min(...times) : undefined;
   }
--- a/packages/gateway/src/preference.ts
+++ b/packages/gateway/src/preference.ts
@@ -118,7 +118,7 @@
   tried: readonly EndpointId[],
 ): readonly Endpoint[] {
   const usable = endpoints.filter(
-    ({ registration: { id }, backpressure }) => !tried.includes(id) && backpressure.allowsRequest,
+    ({ registration: { id }, allowsRequest }) => !tried.includes(id) && allowsRequest,
   );
   const reachable = usable.filter(({ isReachable }) => isReachable);
   return reachable.length > 0 ? reachable : usable;
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from './endpoint.js';
 import { sendProbe } from './probe.js';
 import type { ProbeReply } from './probe.js';
+import type { WarmupGate } from './warmup.js';
 
 /** Burst size of the probe budget, as the number of seconds whose probes may be sent at once. */
 const burstSeconds = 1;
@@ -12,6 +13,7 @@
 export interface ProberOptions {
   readonly headerCodec: HeaderCodec;
   readonly backpressure: BackpressureRecorder;
+  readonly warmup: WarmupGate;
   readonly metrics: Metrics;
   /** Returns the probes a second that this instance may send to all endpoints together. */
   readonly getMaxProbesPerSecond: () => number;
@@ -131,6 +133,8 @@
     this.#options.backpressure.recordAnswer(endpoint, head, 'probe');
     if (result.report) endpoint.recordReport(result.report);
     endpoint.setHealthy(result.isHealthy);
+    endpoint.warmup.recordHealthCheck(result.warmupMs);
+    this.#options.warmup.reportChange(endpoint, 'health-check');
     return true;
   }
 }
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -3,7 +3,7 @@
 import type { Clock, EndpointId, FailureDomain, Random, ServiceId } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import { Endpoint } from './endpoint.js';
-import type { AskingEndpoint } from './summary.js';
+import type { AskingEndpoint, ColdEndpoint } from './summary.js';
 
 /** Maximum connections to an endpoint whose service is not configured yet. */
 const fallbackConnections = 8;
@@ -16,6 +16,8 @@
   getFleetSize(): number;
   /** Returns the maximum connections of this instance to one endpoint of a configured service. */
   calculateConnectionLimit(service: ServiceId): number | undefined;
+  /** Called for each listed endpoint, also when its registration is unchanged. */
+  onListed(endpoint: Endpoint): void;
 }
 
 /** Registered endpoints by service. */
@@ -84,6 +86,17 @@
       }));
   }
 
+  /** @returns The endpoints that are cold, and what they got. */
+  listCold(): readonly ColdEndpoint[] {
+    return [...this.#endpoints.values()]
+      .filter(({ warmup }) => warmup.isCold)
+      .map(({ registration: { id, service }, warmup }) => ({
+        endpoint: id,
+        service,
+        ...warmup.readStatus(),
+      }));
+  }
+
   /**
    * Replaces the registrations. Adds, updates and removes endpoints accordingly.
    *
@@ -94,6 +107,8 @@
     let hasChanged = false;
     listed.forEach((registration) => {
       if (this.#addOrUpdate(registration)) hasChanged = true;
+      const endpoint = this.#endpoints.get(registration.id);
+      if (endpoint) this.#options.onListed(endpoint);
     });
     const missing = [...this.#endpoints.keys()].filter((id) => !listed.has(id));
     missing.forEach((id) => this.#remove(id, 'missing'));
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -15,6 +15,8 @@
 import type { Pick, Picker } from './picker.js';
 import type { LatencyEstimator } from './latency.js';
 import { countSent } from './retries.js';
+import { freeToken } from './warmup.js';
+import type { AttemptToken, WarmupGate } from './warmup.js';
 import type { RetryPolicy } from './retries.js';
 
 /**
@@ -27,6 +29,7 @@
   readonly headerCodec: HeaderCodec;
   readonly admission: CallAdmission;
   readonly backpressure: BackpressureRecorder;
+  readonly warmup: WarmupGate;
   readonly picker: Picker;
   readonly latency: LatencyEstimator;
   readonly retries: RetryPolicy;
@@ -97,13 +100,19 @@
           : createUnsentFailure(call, pick, findEvacuation(call.service));
         return addRetryBlock(this.#addReturnTime(call, failure), getBlockReason(pick), records);
       }
-      // Another call may have taken the last request that the endpoint allows.
-      if (pick.endpoint.isEvacuated || !pick.endpoint.backpressure.takeRequest()) continue;
+      const token = this.#takeToken(call, pick) ?? (await this.#waitForToken(call, pick));
+      if (!token) {
+        if (performance.now() < call.deadlineAt) continue;
+        const failure = isRetry
+          ? { ...lastFailure, verdict: worstVerdict }
+          : createUnsentFailure(call, 'overload', undefined);
+        return addRetryBlock(this.#addReturnTime(call, failure), 'time-left', records);
+      }
       // A call that is handed over is counted by the instance that sends it to an endpoint.
       if (!isCounted) retries.recordCall(call);
       isCounted = true;
       if (isRetry) retries.recordAttempt(call, 'retry');
-      const result = await this.#sendHedged(call, pick, records);
+      const result = await this.#sendHedged(call, pick, token, records);
       if (result.kind === 'answer') {
         const { statusCode = 0 } = result.response;
         // A 5xx response to an idempotent call is retried; the last one is passed to the caller.
@@ -139,12 +148,43 @@
     });
   }
 
+  /**
+   * Takes the right to send a request to a picked endpoint.
+   *
+   * @returns Undefined when the endpoint is cold, or another call has taken the last request that it
+   * allows.
+   */
+  #takeToken(call: Call, { endpoint }: Pick, token = freeToken): AttemptToken | undefined {
+    const isTaken =
+      (token !== freeToken || !this.#options.warmup.needsToken(endpoint)) &&
+      !call.incoming.cancellation.aborted &&
+      !endpoint.isEvacuated &&
+      endpoint.backpressure.takeRequest();
+    return isTaken ? token : undefined;
+  }
+
+  /** The same for a cold endpoint, whose requests all instances limit together. */
+  async #waitForToken(call: Call, pick: Pick): Promise<AttemptToken | undefined> {
+    const { warmup } = this.#options;
+    if (!warmup.needsToken(pick.endpoint)) return undefined;
+    const token = await warmup.takeToken(pick.endpoint);
+    if (!token) return undefined;
+    const taken = this.#takeToken(call, pick, token);
+    if (!taken) token.giveBack();
+    return taken;
+  }
+
   /** Sends a call, and hedges it on a second endpoint when it is idempotent and takes long. */
-  async #sendHedged(call: Call, pick: Pick, records: AttemptRecord[]): Promise<CallResult> {
+  async #sendHedged(
+    call: Call,
+    pick: Pick,
+    token: AttemptToken,
+    records: AttemptRecord[],
+  ): Promise<CallResult> {
     const { route, body, incoming } = call;
     const canHedge = route.repeat === 'idempotent' && body.kind !== 'stream';
     const firstCancellation = incoming.cancellation.makeChild();
-    const first = this.#sendAttempt(call, pick, records, firstCancellation);
+    const first = this.#sendAttempt(call, pick, token, records, firstCancellation);
     if (!canHedge) return first;
     const delayMs = calculateHedgeDelayMs(
       this.#options.latency.estimateMs(route),
@@ -156,11 +196,12 @@
     const secondPick = await this.#pick(call, records);
     if (!secondPick || !hasSpareCapacity(secondPick.endpoint) || incoming.cancellation.aborted)
       return first;
-    const { endpoint } = secondPick;
-    if (endpoint.isEvacuated || !endpoint.backpressure.takeRequest()) return first;
+    const secondToken =
+      this.#takeToken(call, secondPick) ?? (await this.#waitForToken(call, secondPick));
+    if (!secondToken) return first;
     this.#options.retries.recordAttempt(call, 'hedge');
     const secondCancellation = incoming.cancellation.makeChild();
-    const second = this.#sendAttempt(call, secondPick, records, secondCancellation);
+    const second = this.#sendAttempt(call, secondPick, secondToken, records, secondCancellation);
     return selectResult(
       { result: first, cancellation: firstCancellation },
       { result: second, cancellation: secondCancellation },
@@ -170,6 +211,7 @@
   async #sendAttempt(
     call: Call,
     { endpoint, expectedMs, reportAgeMs, slowdown }: Pick,
+    token: AttemptToken,
     records: AttemptRecord[],
     cancellation: Cancellation,
   ): Promise<CallResult> {
@@ -210,7 +252,10 @@
       endpoint.endCall(ending);
       admission.notifyCapacity(call.service);
     };
-    if (sentResult.isErr()) return this.#convertFailure(call, endpoint, sentResult.error, finish);
+    if (sentResult.isErr()) {
+      if (sentResult.error.verdict === 'not-run') token.giveBack();
+      return this.#convertFailure(call, endpoint, sentResult.error, finish);
+    }
     const response = sentResult.value;
     const { headers } = response;
     const isReused = isOnReusedConnection(response);
@@ -236,7 +281,10 @@
       if (body.kind === 'large') response.destroy();
       finish(classification.reason, 'shed');
       if (report) endpoint.recordReport(report);
-      if (classification.reason === 'other-endpoint') endpoint.recordUnreachable();
+      if (classification.reason === 'other-endpoint') {
+        token.giveBack();
+        endpoint.recordUnreachable();
+      }
       const message = `endpoint ${id} did not run the call: ${classification.reason}`;
       return { kind: 'failed', verdict: 'not-run', reason: 'shed', message };
     }
@@ -340,7 +388,7 @@
       kind: 'failed',
       verdict,
       reason: 'backpressure',
-      message: `all endpoints of service ${service} ask callers to wait`,
+      message: `all endpoints of service ${service} ask callers to wait or are warming up`,
     };
   }
   return pick === 'overload'
--- a/packages/gateway/src/summary.ts
+++ b/packages/gateway/src/summary.ts
@@ -2,6 +2,7 @@
 import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
 import type { EvacuationStatus } from './operator-keys.js';
 import type { SettingsStatus } from './settings.js';
+import type { WarmupStatus } from './warmup.js';
 
 /** An endpoint that asks for less than usual, as one instance knows it. */
 export interface AskingEndpoint extends BackpressureStatus {
@@ -9,6 +10,12 @@
   readonly service: ServiceId;
 }
 
+/** A cold endpoint whose service limits what it gets, as one instance knows it. */
+export interface ColdEndpoint extends WarmupStatus {
+  readonly endpoint: EndpointId;
+  readonly service: ServiceId;
+}
+
 /** What an instance tells operators about itself, also through another instance. */
 export interface InstanceSummary {
   readonly instance: InstanceId;
@@ -21,6 +28,8 @@
   readonly outOfReach?: readonly ServiceId[];
   /** What endpoints ask it for; undefined for an instance of an older version. */
   readonly asking?: readonly AskingEndpoint[];
+  /** Cold endpoints of services that limit what these get; undefined for an older version. */
+  readonly cold?: readonly ColdEndpoint[];
   /** Evacuations in force; undefined where they are disabled. */
   readonly evacuations?: readonly EvacuationStatus[] | undefined;
   readonly settings: SettingsStatus;
@@ -44,6 +53,7 @@
     'SETTINGS',
     'SINCE',
     'EVACUATED',
+    'COLD',
     'OUT OF REACH',
     'ASKING',
     'LAST RELOAD',
@@ -62,7 +72,7 @@
 }
 
 function formatAnswer(answer: FleetAnswer): readonly string[] {
-  if ('error' in answer) return [answer.instance, ...Array<string>(7).fill('?'), answer.error];
+  if ('error' in answer) return [answer.instance, ...Array<string>(8).fill('?'), answer.error];
   const { instance, isReady, isStopping, configVersion, outOfReach = [], settings } = answer;
   const asking = String(answer.asking?.length ?? '?');
   const ready = isStopping ? 'stopping' : String(isReady);
@@ -71,7 +81,8 @@
   const unreached = outOfReach.length > 0 ? outOfReach.join(',') : '-';
   const reload = formatReload(lastReload);
   const version = String(configVersion);
-  return [instance, ready, version, digest, since, evacuated, unreached, asking, reload];
+  const cold = formatCold(answer.cold);
+  return [instance, ready, version, digest, since, evacuated, cold, unreached, asking, reload];
 }
 
 /** @returns Failure domains with the epochs and revisions at which it was asked for. */
@@ -82,6 +93,15 @@
   return entries.length > 0 ? entries.join(',') : '-';
 }
 
+/** @returns Number of cold endpoints, and the requests that they got and those that were denied. */
+function formatCold(cold: InstanceSummary['cold']): string {
+  if (!cold) return '?';
+  if (cold.length === 0) return '0';
+  const granted = cold.reduce((sum, endpoint) => sum + endpoint.granted, 0);
+  const denied = cold.reduce((sum, endpoint) => sum + endpoint.denied, 0);
+  return `${cold.length} (${granted} sent, ${denied} denied)`;
+}
+
 function formatReload(record: SettingsStatus['lastReload']): string {
   if (!record) return '-';
   const { at, cause, outcome, reason, needsRestart } = record;
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders, IncomingMessage, RequestListener } from 'node:http';
 import { createServer as createTcpServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import type { FleetLimiter } from '@dotterelpass/quota';
 import { Metrics } from '@dotterelpass/telemetry';
 import type { LogFields } from '@dotterelpass/telemetry';
 import { makeRandom, systemClock } from '@dotterelpass/values';
@@ -57,6 +58,7 @@
         message: `the response belongs to request ${headers.id as string}`,
       };
     }
+    if (status === 421) return { kind: 'not-run', reason: 'other-endpoint' };
     if (headers.outcome === 'not-run') return { kind: 'not-run', reason: 'shed' };
     return { kind: 'answer', isSuccess: status < 500 };
   }
@@ -77,9 +79,11 @@
     return id !== undefined;
   }
 
-  override parseProbeResponse({ status }: ResponseHead): ProbeResult {
+  override parseProbeResponse({ status, headers }: ResponseHead): ProbeResult {
     const report = { running: 0, waiting: 0, slots, slowdown: 1 };
-    return { isHealthy: status === 200, id: undefined, report };
+    const { 'warmup-ms': text } = headers;
+    const warmupMs = text === undefined ? undefined : Number(text);
+    return { isHealthy: status === 200, id: undefined, report, warmupMs };
   }
 }
 
@@ -90,6 +94,12 @@
   /** Connections that an endpoint takes from all instances, from the next `setRoute` on. */
   maxConnections = 1000;
 
+  /** Requests a second that a cold endpoint takes, from the next `setRoute` on. */
+  warmupRatePerSecond: number | undefined;
+
+  /** Warm-up times that the endpoints state in their answers to probes, by their indexes. */
+  readonly warmupMs: (number | undefined)[] = [];
+
   /** Log lines of the levels `info` and `error`. */
   readonly lines: { readonly event: string; readonly fields: LogFields }[] = [];
 
@@ -99,7 +109,8 @@
 
   #version = 0;
 
-  constructor() {
+  /** @param limiter - Hands out the tokens of limits; by default there are none. */
+  constructor(limiter?: FleetLimiter) {
     this.gateway = new Gateway(
       {
         headerCodec: new BedCodec(),
@@ -120,6 +131,7 @@
           error: (event, fields = {}) => this.lines.push({ event, fields }),
         },
         metrics: new Metrics(),
+        ...(limiter ? { limiter } : {}),
         onSuspect: () => undefined,
         onBan: () => undefined,
       },
@@ -143,7 +155,10 @@
    * @param handlers - What each endpoint does with a request that is no health probe.
    */
   async start(...handlers: RequestListener[]): Promise<void> {
-    for (const handle of handlers) this.#endpoints.push(await listen(makeEndpoint(handle)));
+    for (const [index, handle] of handlers.entries()) {
+      const endpoint = makeEndpoint(handle, () => this.warmupMs[index]);
+      this.#endpoints.push(await listen(endpoint));
+    }
     await this.#startGateway();
   }
 
@@ -194,7 +209,15 @@
         version: this.#version,
         routes: [route],
         services: new Map([
-          [service, { name: service, healthPath: '/healthz', maxConnections: this.maxConnections }],
+          [
+            service,
+            {
+              name: service,
+              healthPath: '/healthz',
+              maxConnections: this.maxConnections,
+              warmupRatePerSecond: this.warmupRatePerSecond,
+            },
+          ],
         ]),
         bounds: {
           maxHeaderBytes: 16 * 1024,
@@ -217,10 +240,13 @@
   }
 }
 
-function makeEndpoint(handle: RequestListener): HttpServer {
+function makeEndpoint(handle: RequestListener, readWarmupMs: () => number | undefined): HttpServer {
   return createServer((request: IncomingMessage, response) => {
-    if (request.url === '/healthz') response.end('ok');
-    else handle(request, response);
+    if (request.url === '/healthz') {
+      const warmupMs = readWarmupMs();
+      if (warmupMs !== undefined) response.setHeader('warmup-ms', warmupMs);
+      response.end('ok');
+    } else handle(request, response);
   });
 }
 
--- a/packages/gateway/test/changes.test.ts
+++ b/packages/gateway/test/changes.test.ts
@@ -6,14 +6,17 @@
 /** Creates a position, by default in the first epoch. */
 const at = (revision: number, epoch = 1) => ({ epoch, revision });
 
-/** Creates an item from `id:state:heartbeat`, with the start of the process after that if needed. */
+/**
+ * Creates an item from `id:state:heartbeat`, with the start of the process and the warm-up time after
+ * that if needed.
+ */
 const makeItem = (text: string, revision: number, epoch = 1) => {
   const [id = ''] = text.split(':');
   return { key: id, value: Buffer.from(text), epoch, revision };
 };
 
 function decodeItem({ value }: { readonly value: Buffer }): Registration | undefined {
-  const [id = '', state = '', , startedAt] = value.toString().split(':');
+  const [id = '', state = '', , startedAt, warmupMs = 0] = value.toString().split(':');
   if (state !== 'ready' && state !== 'draining') return undefined;
   return {
     id: id as EndpointId,
@@ -23,7 +26,7 @@
     slots: 3,
     state,
     startedAtMs: startedAt === undefined ? undefined : Number(startedAt),
-    warmupMs: 0,
+    warmupMs: Number(warmupMs),
   };
 }
 
@@ -55,6 +58,27 @@
     });
   });
 
+  /**
+   * Guards against instances that flood an endpoint which has turned cold, because its registration
+   * looks like a heartbeat, and against an update for each second of a warm-up.
+   */
+  it.each([
+    { name: 'begins', before: 0, after: 3000, isReported: true },
+    { name: 'goes on', before: 3000, after: 2000, isReported: false },
+    { name: 'ends', before: 2000, after: 0, isReported: false },
+    { name: 'begins again', before: 400, after: 3000, isReported: true },
+  ])('reports a warm-up that $name: $isReported', ({ before, after, isReported }) => {
+    const changeLog = new ChangeLog(decodeItem);
+    const list = (warmupMs: number, revision: number) =>
+      changeLog.applyListing(
+        { items: [makeItem(`e1:ready:1:7:${warmupMs}`, revision)], position: at(revision) },
+        false,
+      );
+    list(before, 9);
+    list(after, 11);
+    expect(changeLog.getChangesSince(at(9)).items.length > 0).toBe(isReported);
+  });
+
   it('reports a state change and a removal to an instance with an older revision only', () => {
     const changeLog = makeLog();
     changeLog.applyListing({ items: [makeItem('e1:draining:2', 11)], position: at(12) }, false);
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -16,6 +16,8 @@
 import { BackpressureRecorder } from '../src/backpressure.js';
 import { Endpoint } from '../src/endpoint.js';
 import { createBackpressure } from './backpressure.js';
+import { UnlimitedLimiter } from '../src/unlimited.js';
+import { WarmupGate } from '../src/warmup.js';
 import { Prober } from '../src/prober.js';
 
 /** Reads the load from the header `load`, which holds the number of running calls. */
@@ -136,6 +138,12 @@
   const prober = new Prober({
     headerCodec,
     backpressure: new BackpressureRecorder({ headerCodec, log, metrics }),
+    warmup: new WarmupGate({
+      limiter: new UnlimitedLimiter(),
+      log,
+      metrics,
+      findRate: () => undefined,
+    }),
     metrics,
     getMaxProbesPerSecond: () => 1000,
     findHealthPath: () => '/health',
--- a/packages/gateway/test/registry.test.ts
+++ b/packages/gateway/test/registry.test.ts
@@ -19,6 +19,7 @@
     log: createLogger('test'),
     getFleetSize: () => 1,
     calculateConnectionLimit: () => 1,
+    onListed: () => undefined,
   });
 });
 
@@ -116,8 +117,9 @@
     await vi.waitFor(() => expect(paths).toEqual(['/first']));
     const second = send('/second');
     evacuate('z1');
-    expect((await second)?._unsafeUnwrapErr()).toMatchObject({ verdict: 'not-run' });
-    expect((await first)?._unsafeUnwrap().statusCode).toBe(200);
+    const [unsent, inFlight] = [await second, await first];
+    expect(unsent?.isErr() && unsent.error).toMatchObject({ verdict: 'not-run' });
+    expect(inFlight?.isOk() && inFlight.value.statusCode).toBe(200);
     endpoint?.recordUnreachable();
     expect(endpoint?.isReachable).toBe(true);
     expect(paths).toEqual(['/first']);
