--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import type { LoadReport } from './codec.js';
+import { EndpointWarmup } from './warmup.js';
 
 /** Outcome of an attempt, for the failure and shed scores of its endpoint. */
 export type AttemptEnding = 'answered' | 'failed' | 'shed' | 'unreachable' | 'cancelled';
@@ -34,8 +35,6 @@
 
   #registration: Registration;
 
-  #warmUntil: number;
-
   #report: LoadReport | undefined;
 
   #reportedAt = -Infinity;
@@ -60,6 +59,8 @@
 
   #isHealthy = true;
 
+  #isEvacuated = false;
+
   /** Whether the last probe found that new connections wait for a slot or are reset. */
   #isFull = false;
 
@@ -68,6 +69,8 @@
   /** What the endpoint asks for in its answers. */
   readonly backpressure: EndpointBackpressure;
 
+  readonly warmup: EndpointWarmup;
+
   constructor(
     registration: Registration,
     maxConnections: number,
@@ -77,7 +80,7 @@
     this.backpressure = backpressure;
     this.#clock = clock;
     this.#registration = registration;
-    this.#warmUntil = clock.now() + registration.warmupMs;
+    this.warmup = new EndpointWarmup(clock, registration.warmupMs);
     this.#pool = new ConnectionPool(registration.address, maxConnections, {
       connectTimeoutMs,
       idleMs: defaultIdleMs,
@@ -109,7 +112,20 @@
   }
 
   get isWarm(): boolean {
-    return this.#clock.now() >= this.#warmUntil;
+    return !this.warmup.isCold;
+  }
+
+  /** Whether the endpoint lets this instance send a request now. */
+  get allowsRequest(): boolean {
+    return this.findNextRequestAt() <= this.#clock.now();
+  }
+
+  /**
+   * @returns The earliest monotonic time at which a request may be sent, in milliseconds; infinite
+   * for an endpoint that is leaving.
+   */
+  findNextRequestAt(): number {
+    return Math.max(this.backpressure.findNextRequestAt(), this.warmup.notBefore);
   }
 
   /** Whether the endpoint is not ejected after a failed connection or probe. */
@@ -132,6 +148,11 @@
     return this.#isHealthy;
   }
 
+  /** Whether operators have evacuated its failure domain, so that it gets nothing more. */
+  get isEvacuated(): boolean {
+    return this.#isEvacuated;
+  }
+
   /** Estimated calls running or queued there: those last reported and those sent since. */
   get load(): number {
     const fullLoad = this.#isFull ? this.#registration.slots : 0;
@@ -152,6 +173,8 @@
 
   /** @param registration - New registration of the same process. */
   setRegistration(registration: Registration): void {
+    // A registration that was not written again has no new warm-up time.
+    if (registration !== this.#registration) this.warmup.setRegistered(registration.warmupMs);
     this.#registration = registration;
   }
 
@@ -187,6 +210,18 @@
     this.#isHealthy = isHealthy;
   }
 
+  /**
+   * Sets whether its failure domain is evacuated. Requests that still wait for a connection would be
+   * sent late, so they fail; those that have one are not disturbed.
+   */
+  setEvacuated(isEvacuated: boolean): void {
+    if (isEvacuated === this.#isEvacuated) return;
+    this.#isEvacuated = isEvacuated;
+    if (!isEvacuated) return;
+    this.#pool.closeIdle();
+    this.#pool.abortQueued();
+  }
+
   startCall(): void {
     this.#inFlight += 1;
     this.#sentSinceReport += 1;
@@ -208,6 +243,8 @@
 
   /** Ejects the endpoint for a short time because it did not respond. */
   recordUnreachable(): void {
+    // What ends while the endpoint gets nothing more says nothing of its reach afterwards.
+    if (this.#isEvacuated) return;
     this.#unreachableAt = this.#clock.now();
     this.#unreachableUntil = this.#unreachableAt + ejectionMs;
     this.#report = undefined;
@@ -231,6 +268,7 @@
       isFull: this.#isFull,
       isHealthy: this.#isHealthy,
       isWarm: this.isWarm,
+      warmup: this.warmup.readStatus(),
       asksFor: this.backpressure.readStatus(),
       failureScore: this.failureScore,
       shedScore: this.shedScore,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import type { EvacuatedDomain } from '@dotterelpass/evacuation';
 import { CallerServer } from '@dotterelpass/proxy';
 import { RetryBudget } from '@dotterelpass/retries';
 import type { FleetLimiter, QuotaBounds } from '@dotterelpass/quota';
@@ -31,10 +32,11 @@
 import { LimitedSender } from './quota.js';
 import { ReachMonitor } from './reach.js';
 import { EndpointRegistry } from './registry.js';
-import type { AskingEndpoint } from './summary.js';
+import type { AskingEndpoint, ColdEndpoint } from './summary.js';
 import { CallRecorder } from './recorder.js';
 import { RetryPolicy } from './retries.js';
 import { RouteTable } from './routes.js';
+import { WarmupGate } from './warmup.js';
 import { LatencyEstimator } from './latency.js';
 
 /**
@@ -143,16 +145,24 @@
       limits.retryWindowMs,
     ).unref();
     const backpressure = new BackpressureRecorder({ headerCodec, log, metrics });
+    const warmup = new WarmupGate({
+      limiter: options.limiter,
+      log,
+      metrics,
+      findRate: (service) => this.#config?.services.get(service)?.warmupRatePerSecond,
+    });
     this.#registry = new EndpointRegistry({
       clock,
       random,
       log,
       getFleetSize: () => this.#fleetSize,
       calculateConnectionLimit: (service) => this.#calculateConnectionLimit(service),
+      onListed: (endpoint) => warmup.reportChange(endpoint, 'registration'),
     });
     this.#prober = new Prober({
       headerCodec,
       backpressure,
+      warmup,
       metrics,
       getMaxProbesPerSecond: () =>
         (this.#limits.probesPerSecond * limitSafetyFactor * this.#registry.size) / this.#fleetSize,
@@ -172,8 +182,10 @@
       headerCodec,
       admission: this.#admission,
       backpressure,
+      warmup,
       picker,
       latency: this.#latency,
+      findEvacuation: (service) => this.#registry.findEvacuation(service),
       retries: new RetryPolicy({ budget: this.#budget, latency: this.#latency, metrics }),
       onConnectionReset: (call, endpoint) => {
         void this.#checkCrash(call, endpoint);
@@ -286,6 +298,13 @@
     return this.#registry.listAsking();
   }
 
+  /** The cold endpoints of the services that limit what these get. */
+  get coldEndpoints(): readonly ColdEndpoint[] {
+    const hasLimit = ({ service }: ColdEndpoint) =>
+      this.#config?.services.get(service)?.warmupRatePerSecond !== undefined;
+    return this.#registry.listCold().filter(hasLimit);
+  }
+
   /**
    * Sets the other instances, and the key that all instances share.
    *
@@ -324,6 +343,15 @@
     this.#registry.setRegistrations(registrations);
   }
 
+  /**
+   * Replaces the evacuated failure domains. Waiting calls look for another endpoint at once, or are
+   * refused.
+   */
+  setEvacuations(evacuated: readonly EvacuatedDomain[]): void {
+    this.#registry.setEvacuated(new Set(evacuated.map(({ domain }) => domain)));
+    this.#config?.services.forEach((_, service) => this.#admission.notifyCapacity(service));
+  }
+
   /** @param size - Number of instances that share the limits, including this one. */
   setFleetSize(size: number): void {
     if (size === this.#fleetSize || size < 1) return;
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -201,7 +201,10 @@
   /** Whether the instance is ready for new callers. */
   get isReady(): boolean {
     const isReady =
-      !this.#isStopping && this.#gateway.version >= 0 && this.#replica.hasRegistrations;
+      !this.#isStopping &&
+      this.#gateway.version >= 0 &&
+      this.#replica.hasRegistrations &&
+      this.#replica.hasEvacuations;
     if (isReady !== this.#wasReady) {
       this.#wasReady = isReady;
       this.#options.log.info('readiness', { isReady, configVersion: this.#gateway.version });
@@ -286,11 +289,12 @@
 
   /** Logs what a start waits for, of which nothing else shows that it has not happened. */
   #reportStart(sinceStartMs: number): void {
-    const { failingSince, hasRegistrations } = this.#replica;
+    const { failingSince, hasRegistrations, hasEvacuations } = this.#replica;
     this.#options.log.warn('not-ready', {
       sinceStartMs: Math.round(sinceStartMs),
       hasConfig: this.#gateway.version >= 0,
       hasRegistrations,
+      hasEvacuations,
       isStoreLost: failingSince !== undefined,
       storeReader: this.#peerSync.source,
       peers: this.#peerSync.peerCount,
@@ -313,6 +317,8 @@
       outOfReach: this.#gateway.servicesOutOfReach,
       asking: this.#gateway.askingEndpoints,
       quota: this.#quota.readStatus(),
+      evacuations: this.#replica.evacuations,
+      cold: this.#gateway.coldEndpoints,
       settings: settings.status,
     };
   }
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders, IncomingMessage, RequestListener } from 'node:http';
 import { createServer as createTcpServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import type { FleetLimiter } from '@dotterelpass/quota';
 import { Metrics } from '@dotterelpass/telemetry';
 import type { LogFields } from '@dotterelpass/telemetry';
 import { makeRandom, systemClock } from '@dotterelpass/values';
@@ -23,6 +24,7 @@
   ResponseHead,
 } from '../src/codec.js';
 import { Gateway } from '../src/gateway.js';
+import { UnlimitedLimiter } from './unlimited.js';
 
 /** Slots of each endpoint, so that no call waits for one. */
 const slots = 200;
@@ -66,6 +68,7 @@
         message: `the response belongs to request ${headers.id as string}`,
       };
     }
+    if (status === 421) return { kind: 'not-run', reason: 'other-endpoint' };
     if (headers.outcome === 'not-run') return { kind: 'not-run', reason: 'shed' };
     return { kind: 'answer', isSuccess: status < 500 };
   }
@@ -96,9 +99,11 @@
     return id !== undefined;
   }
 
-  override parseProbeResponse({ status }: ResponseHead): ProbeResult {
+  override parseProbeResponse({ status, headers }: ResponseHead): ProbeResult {
     const report = { running: 0, waiting: 0, slots, slowdown: 1 };
-    return { isHealthy: status === 200, id: undefined, report };
+    const { 'warmup-ms': text } = headers;
+    const warmupMs = text === undefined ? undefined : Number(text);
+    return { isHealthy: status === 200, id: undefined, report, warmupMs };
   }
 }
 
@@ -117,6 +122,12 @@
 
   readonly metrics = new Metrics();
 
+  /** Requests a second that a cold endpoint takes, from the next `setRoute` on. */
+  warmupRatePerSecond: number | undefined;
+
+  /** Warm-up times that the endpoints state in their answers to probes, by their indexes. */
+  readonly warmupMs: (number | undefined)[] = [];
+
   /** Log lines of the levels `info` and `error`. */
   readonly lines: { readonly event: string; readonly fields: LogFields }[] = [];
 
@@ -126,7 +137,8 @@
 
   #version = 0;
 
-  constructor(instance = 'one') {
+  /** @param limiter - Hands out the tokens of limits; by default there are none. */
+  constructor(instance = 'one', limiter: FleetLimiter = new UnlimitedLimiter()) {
     this.gateway = new Gateway(
       {
         headerCodec: new BedCodec(),
@@ -138,10 +150,7 @@
           retryWindowMs: 10_000,
           probesPerSecond: 10_000,
         },
-        limiter: {
-          take: async () => ({ kind: 'granted' }),
-          giveBack: () => undefined,
-        },
+        limiter,
         onConfig: () => undefined,
         clock: systemClock,
         random: makeRandom(7),
@@ -189,7 +198,10 @@
    * @param handlers - What each endpoint does with a request that is no health probe.
    */
   async start(...handlers: RequestListener[]): Promise<void> {
-    for (const handle of handlers) this.#endpoints.push(await listen(makeEndpoint(handle)));
+    for (const [index, handle] of handlers.entries()) {
+      const endpoint = makeEndpoint(handle, () => this.warmupMs[index]);
+      this.#endpoints.push(await listen(endpoint));
+    }
     await this.#startGateway();
   }
 
@@ -229,7 +241,15 @@
         version: this.#version,
         routes: [route],
         services: new Map([
-          [service, { name: service, healthPath: '/healthz', maxConnections: this.maxConnections }],
+          [
+            service,
+            {
+              name: service,
+              healthPath: '/healthz',
+              maxConnections: this.maxConnections,
+              warmupRatePerSecond: this.warmupRatePerSecond,
+            },
+          ],
         ]),
         bounds: {
           maxHeaderBytes: 16 * 1024,
@@ -253,10 +273,13 @@
   }
 }
 
-function makeEndpoint(handle: RequestListener): HttpServer {
+function makeEndpoint(handle: RequestListener, readWarmupMs: () => number | undefined): HttpServer {
   return createServer((request: IncomingMessage, response) => {
-    if (request.url === '/healthz') response.end('ok');
-    else handle(request, response);
+    if (request.url === '/healthz') {
+      const warmupMs = readWarmupMs();
+      if (warmupMs !== undefined) response.setHeader('warmup-ms', warmupMs);
+      response.end('ok');
+    } else handle(request, response);
   });
 }
 
--- a/packages/gateway/test/shared.test.ts
+++ b/packages/gateway/test/shared.test.ts
@@ -32,6 +32,7 @@
       version: 0,
       setConfig: ({ version }) => versions.push(version),
       setRegistrations: () => undefined,
+      setEvacuations: () => undefined,
     },
     clock: new ManualClock(),
     random: makeRandom(1),
