Draw no random number while no limit is configured

The number is now drawn with the first stamp. A response that arrived during a stall of the process is read before its time limit counts.

--- a/packages/gateway/src/limiter.ts
+++ b/packages/gateway/src/limiter.ts
@@ -25,6 +25,9 @@
 /** Fleet size to assume until the number of instances has been read from the store. */
 const assumedSize = 8;
 
+/** Time by which the time limit of a message exceeds that of the exchange, which ends it. */
+const graceMs = 100;
+
 /** Exchanges messages with the other instances. */
 export interface PeerMessenger {
   request(
@@ -62,9 +65,10 @@
         kind: 'unanswered',
         message: `no response within ${timeoutMs} ms`,
       } as const;
-      timer = setTimeout(() => resolve(err(failure)), timeoutMs);
+      // After a stall of the process, a response that has arrived is read before the time limit counts.
+      timer = setTimeout(() => setImmediate(() => resolve(err(failure))), timeoutMs);
     });
-    const response = await Promise.race([this.#send(peer, message, timeoutMs), timeout]);
+    const response = await Promise.race([this.#send(peer, message, timeoutMs + graceMs), timeout]);
     clearTimeout(timer);
     return response;
   }
--- a/packages/quota/src/coordinator.ts
+++ b/packages/quota/src/coordinator.ts
@@ -76,7 +76,8 @@
 export class QuotaCoordinator {
   readonly #options: QuotaCoordinatorOptions;
 
-  readonly #epoch: number;
+  /** Drawn with the first stamp, so that nothing is done where no limit is configured. */
+  #epoch: number | undefined;
 
   readonly #attachments = new Map<InstanceId, Attachment>();
 
@@ -97,7 +98,6 @@
 
   constructor(options: QuotaCoordinatorOptions) {
     this.#options = options;
-    this.#epoch = Math.floor(options.random.next() * 2 ** 32);
   }
 
   /** @param size - Number of known instances, including those that were lost a short time ago. */
@@ -112,7 +112,9 @@
 
   /** @returns The present time on the clock of this coordinator. */
   readStamp(): CoordinatorStamp {
-    return { epoch: this.#epoch, at: this.#options.clock.now() };
+    const { clock, random } = this.#options;
+    this.#epoch ??= Math.floor(random.next() * 2 ** 32);
+    return { epoch: this.#epoch, at: clock.now() };
   }
 
   /** Number of limits with a bucket here. */
@@ -153,10 +155,11 @@
     { groupCount, groups, overlapsMs, stamp }: QuotaRequest,
     now: number,
   ): boolean {
-    const until = stamp?.epoch === this.#epoch ? stamp.at + attachmentTtlMs : -Infinity;
+    const isValid = stamp !== undefined && stamp.epoch === this.#epoch;
+    const until = isValid ? stamp.at + attachmentTtlMs : -Infinity;
     if (groups.length === 0 || until <= now) {
       // A late message neither attaches nor detaches; the answer makes the instance send again.
-      if (stamp?.epoch === this.#epoch && until > now) this.#detach(from);
+      if (until > now) this.#detach(from);
       return groups.length === 0;
     }
     const previous = this.#attachments.get(from);
