Pause the real coordinator in its test

The test paused an instance that coordinated nothing, so it also passed without the stamps. It now pauses the coordinator and parts the network while attachments wait there.

Result: it fails when attachments last from their arrival, and passes as it stands.

--- a/packages/quota/test/fleet.test.ts
+++ b/packages/quota/test/fleet.test.ts
@@ -257,12 +257,14 @@
   it('is kept when a paused coordinator goes on with callers of its own', async () => {
     const limit = makeLimit(100, 0);
     const fleet = new SimulatedFleet(3, seed);
-    const [coordinator = 0] = fleet.listCoordinators();
     const demand = makeDemand(fleet, () => limit, 300, pickAny(fleet));
     await fleet.run(faultAtMs, demand);
+    const [coordinator = NaN] = fleet.listCoordinators();
     fleet.pause(coordinator, 4000);
-    await fleet.run(4000, demand);
+    // Messages that attach the others wait for the coordinator; later ones do not reach it.
+    await fleet.run(60, demand);
     Object.assign(fleet, { canReach: () => false });
+    await fleet.run(3940, demand);
     const own = makeDemand(
       fleet,
       () => limit,
@@ -458,7 +460,7 @@
   const exhaust = async () => {
     const fleet = new SimulatedFleet(3, seed);
     await fleet.run(8000);
-    const [coordinator = 0] = fleet.listCoordinators();
+    const [coordinator = NaN] = fleet.listCoordinators();
     const index = (coordinator + 1) % 3;
     for (let count = 0; count < 3; count++) void fleet.take(index, limit);
     await fleet.run(50);
