Refuse responses with a status that is not a final one

Node's HTTP parser accepts any three digits as a status, and takes a 101 without an Upgrade header for a final response. An endpoint in trouble sent 000, and the caller received it as the response. Of a health probe, the load report of such a response was recorded, so that the endpoint got calls. The store client reported `applied: 'no'` for a write whose response had such a status, which proves nothing.

ConnectionPool now fails the attempt with `bad-answer` and the verdict may-have-run unless the status is 200 to 599, and closes the connection; this covers the endpoints of gateway and entry, and peers at a handover. A probe counts such a response, a protocol switch and input that is not HTTP as no answer. The store client reports `bad-answer` with an unknown outcome. The entry retries it under the rule for resets, and replays no stored response with such a status.

--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -231,8 +231,7 @@
       const { kind, verdict } = sent.error;
       const result = kind === 'cancelled' || kind === 'bad-body' ? 'cancelled' : 'failed';
       const crashed = await end({ result });
-      const isRetryableKind = kind === 'connect' || kind === 'reset' || kind === 'timeout';
-      const failure: FailedAttempt = { kind: isRetryableKind ? kind : 'other', verdict };
+      const failure: FailedAttempt = { kind: toRetryFailure(kind), verdict };
       return { kind: 'failed', failure, refusal: toRefusal(sent.error), crashed };
     }
     return classifyResponse(call, sent.value, end);
@@ -365,6 +364,12 @@
   return [service.name, `${service.name}/${tenant}`];
 }
 
+function toRetryFailure(kind: AttemptFailure['kind']): FailedAttempt['kind'] {
+  if (kind === 'connect' || kind === 'reset' || kind === 'timeout') return kind;
+  // The connection is dropped without a response, which for a rule is the same as a reset.
+  return kind === 'bad-answer' ? 'reset' : 'other';
+}
+
 function toRefusal({ kind, verdict, message, status }: AttemptFailure): Refusal {
   if (kind === 'timeout') return { status: 504, verdict, message };
   if (kind === 'bad-body') return { status: status ?? 400, verdict, message };
--- a/packages/entry/src/once.ts
+++ b/packages/entry/src/once.ts
@@ -3,7 +3,7 @@
 import type { ClaimAnswer, Holder, JournalPosition, Outcome } from '@dotterelpass/once';
 import { deriveKey } from '@dotterelpass/peers';
 import type { Refusal } from '@dotterelpass/proxy';
-import { systemClock, systemRandom } from '@dotterelpass/values';
+import { isFinalStatus, systemClock, systemRandom } from '@dotterelpass/values';
 import type { InstanceId } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -240,7 +240,8 @@
   return match(answer)
     .returnType<OnceAdmission | undefined>()
     .with({ kind: 'settled' }, ({ answer: stored }) =>
-      stored
+      // Another instance may have stored the response.
+      stored && isFinalStatus(stored.status)
         ? { kind: 'replay', answer: { ...stored, body: Buffer.from(stored.body) } }
         : refuseFinally(409, 'ran', refusalMessages.ran),
     )
--- a/packages/entry/test/proxy.ts
+++ b/packages/entry/test/proxy.ts
@@ -13,7 +13,7 @@
 
 // The raw HTTP client is shared with the tests of packages/proxy.
 // eslint-disable-next-line import-x/no-relative-packages
-export { exchange } from '../../proxy/test/raw.js';
+export { exchange, invalidStatusLines } from '../../proxy/test/raw.js';
 
 /** A test endpoint: an HTTP handler, a handler of raw connections, or a port that refuses them. */
 export type FakeEndpoint = RequestListener | { raw: (socket: Socket) => void } | 'refusing';
--- a/packages/entry/test/retries.test.ts
+++ b/packages/entry/test/retries.test.ts
@@ -1,6 +1,6 @@
 import type { RequestListener } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
-import { exchange, openProxy, waitFor } from './proxy.js';
+import { exchange, invalidStatusLines, openProxy, waitFor } from './proxy.js';
 import type { FakeEndpoint, TestProxy } from './proxy.js';
 
 const get = (path = '/x') => `GET ${path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`;
@@ -51,6 +51,17 @@
       status: 502,
       outcome: 'may-have-run',
     },
+    // Guards against a status such as 000 that reaches the caller.
+    ...invalidStatusLines.flatMap((line) => {
+      const first: FakeEndpoint = {
+        raw: (socket) =>
+          socket.on('data', () => socket.write(`${line}\r\nContent-Length: 4\r\n\r\nbody`)),
+      };
+      return [
+        { name: line, first, repeat: 'idempotent', status: 200 },
+        { name: line, first, repeat: 'once', status: 502, outcome: 'may-have-run' },
+      ];
+    }),
     { name: 'a retryable status', first: respondingWith(502), repeat: 'idempotent', status: 200 },
     { name: 'a retryable status', first: respondingWith(502), repeat: 'once', status: 502 },
     {
--- a/packages/gateway/src/handover.ts
+++ b/packages/gateway/src/handover.ts
@@ -221,7 +221,8 @@
       if (kind === 'timeout') {
         return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'response-head', message };
       }
-      return { kind: 'failed', verdict, reason: 'reset', message };
+      const reason = kind === 'bad-answer' ? 'invalid' : 'reset';
+      return { kind: 'failed', verdict, reason, message };
     }
     return this.#readResponse(call, peer, sent.value, finish);
   }
--- a/packages/gateway/src/probe.ts
+++ b/packages/gateway/src/probe.ts
@@ -1,7 +1,8 @@
 import { request } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import { ChunkPacer, FramingMeter, limitHead } from '@dotterelpass/proxy';
+import { ChunkPacer, FramingMeter, isParserError, limitHead } from '@dotterelpass/proxy';
 import type { ConnectionPool } from '@dotterelpass/proxy';
+import { isFinalStatus } from '@dotterelpass/values';
 import type { HeaderCodec, ResponseHead } from './codec.js';
 
 /** Time after which the result of a probe no longer waits for the response. */
@@ -31,7 +32,7 @@
    * says nothing of the endpoint.
    */
   | { readonly kind: 'stale-connection' }
-  /** No connection could be established. */
+  /** No connection could be established, or what came back on a new one is no valid response. */
   | { readonly kind: 'unreachable' };
 
 /**
@@ -57,7 +58,9 @@
     probe.destroy();
     return { kind: 'stale-connection' };
   }
-  if (head === undefined) return { kind: probe.isAccepted ? 'full' : 'unreachable' };
+  if (head === undefined) {
+    return { kind: probe.isAccepted && !probe.isInvalid ? 'full' : 'unreachable' };
+  }
   if (probe.mayBeAnswered) return { kind: 'waiting', answer: probe.answer };
   probe.destroy();
   return { kind: 'unreachable' };
@@ -73,6 +76,8 @@
 
   #isAccepted = false;
 
+  #isInvalid = false;
+
   /** Status and headers after the end of the response; undefined when there is no response. */
   readonly answer: Promise<ResponseHead | undefined>;
 
@@ -94,6 +99,11 @@
     return this.#isAccepted;
   }
 
+  /** Whether the endpoint sent something that is no valid response. */
+  get isInvalid(): boolean {
+    return this.#isInvalid;
+  }
+
   /** Whether the connection has carried another request before. */
   get isReused(): boolean {
     return this.#outgoing.reusedSocket;
@@ -113,6 +123,11 @@
     this.#isAccepted = true;
   }
 
+  #rejectResponse(): void {
+    this.#isInvalid = true;
+    this.destroy();
+  }
+
   async #waitForResponse(): Promise<ResponseHead | undefined> {
     const outgoing = this.#outgoing;
     return new Promise((resolve) => {
@@ -121,14 +136,20 @@
         clearTimeout(timer);
         resolve(head);
       };
-      limitHead(outgoing, () => this.destroy());
+      limitHead(outgoing, () => this.#rejectResponse());
       let informationalResponses = 0;
       outgoing.on('information', () => {
         informationalResponses += 1;
-        if (informationalResponses > maxInformationalResponses) this.destroy();
+        if (informationalResponses > maxInformationalResponses) this.#rejectResponse();
       });
       outgoing.on('response', (response) => {
         const { statusCode: status = 0, headers } = response;
+        if (!isFinalStatus(status)) {
+          response.on('error', () => undefined);
+          this.#rejectResponse();
+          finish();
+          return;
+        }
         // The probe's own answer follows, and would reach the next request on the connection.
         if (this.isReused && this.#headerCodec.hasRequestId(headers)) {
           this.destroy();
@@ -140,7 +161,12 @@
         response.on('end', () => finish(response.complete ? head : undefined));
         response.on('close', () => finish());
       });
-      outgoing.on('error', () => finish());
+      // A protocol switch that was not requested is no response either.
+      outgoing.on('upgrade', () => this.#rejectResponse());
+      outgoing.on('error', (error) => {
+        if (isParserError(error)) this.#isInvalid = true;
+        finish();
+      });
       outgoing.on('close', () => finish());
     });
   }
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -148,12 +148,12 @@
   }
 
   /**
-   * Starts the gateway in front of one endpoint that speaks on sockets.
+   * Starts the gateway in front of endpoints that speak on sockets.
    *
-   * @param handle - Handles each connection, also for health probes.
+   * @param handlers - What each endpoint does with a connection, also for health probes.
    */
-  async startRaw(handle: (socket: Socket) => void): Promise<void> {
-    this.#endpoints.push(await listen(createTcpServer(handle)));
+  async startRaw(...handlers: ((socket: Socket) => void)[]): Promise<void> {
+    for (const handle of handlers) this.#endpoints.push(await listen(createTcpServer(handle)));
     await this.#startGateway();
   }
 
--- a/packages/gateway/test/handover.test.ts
+++ b/packages/gateway/test/handover.test.ts
@@ -7,6 +7,9 @@
 import type { InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Call, CallResult, CallTrace } from '../src/call.js';
+// The lists of status lines are shared with the tests of packages/proxy.
+// eslint-disable-next-line import-x/no-relative-packages
+import { invalidStatusLines } from '../../proxy/test/raw.js';
 import { CallHandover, parseHandover } from '../src/handover.js';
 import type { Reach } from '../src/reach.js';
 
@@ -141,6 +144,13 @@
     },
     { name: 'a reset', answers: { a: '' }, expected: 'reset may-have-run', count: 1 },
     { name: 'a failure', answers: { a: failed, b: failed }, expected: '502', count: 1 },
+    // A status that is not valid proves nothing, whatever the headers state.
+    ...invalidStatusLines.map((line) => ({
+      name: line,
+      answers: { a: `${line}\r\nX-Request-Outcome: not-run\r\nContent-Length: 0\r\n\r\n` },
+      expected: 'invalid may-have-run',
+      count: 1,
+    })),
     { name: 'an unknown route', answers: { a: unknownRoute }, expected: '404', count: 1 },
     {
       name: 'refusals',
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -15,6 +15,9 @@
 } from '../src/codec.js';
 import { BackpressureRecorder } from '../src/backpressure.js';
 import { Endpoint } from '../src/endpoint.js';
+// The lists of status lines are shared with the tests of packages/proxy.
+// eslint-disable-next-line import-x/no-relative-packages
+import { invalidStatusLines } from '../../proxy/test/raw.js';
 import { createBackpressure } from './backpressure.js';
 import { Prober } from '../src/prober.js';
 
@@ -225,6 +228,34 @@
     expect(endpoint.isReachable).toBe(false);
   });
 
+  /**
+   * Guards against a load report in a response with a status such as 000: the endpoint would count
+   * as reachable, and get calls.
+   */
+  it.each(invalidStatusLines)('takes no answer from a response with %s', async (line) => {
+    const bad = `${line}\r\nload: 0\r\ncontent-length: 0\r\n\r\n`;
+    const { endpoint, prober, countConnections } = await openFixture((socket, request) => {
+      socket.write(request === 0 && sockets.length === 1 ? answer : bad);
+    });
+    expect(await prober.probe(endpoint)).toBe(true);
+    const { answeredAt } = endpoint;
+    // On the kept connection it may belong to an earlier call, so the probe is repeated on a new one.
+    expect(await prober.probe(endpoint)).toBe(false);
+    expect(countConnections()).toBe(2);
+    expect(endpoint).toMatchObject({ isReachable: false, answeredAt, report: undefined });
+    await vi.waitFor(() => expect(sockets.every(({ destroyed }) => destroyed)).toBe(true));
+  });
+
+  it.each(invalidStatusLines)('takes no late answer from a response with %s', async (line) => {
+    const { endpoint, prober, onLateReport } = await openFixture((socket) => {
+      setTimeout(() => socket.write(`${line}\r\nload: 0\r\ncontent-length: 0\r\n\r\n`), 200);
+    });
+    expect(await prober.probe(endpoint)).toBe(false);
+    await vi.waitFor(() => expect(endpoint.isReachable).toBe(false));
+    expect(onLateReport).not.toHaveBeenCalled();
+    expect(endpoint.report).toBeUndefined();
+  });
+
   /** Guards against responses without end, which would use memory and time until the time limit. */
   it.each([
     {
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import { isFinalStatus } from '@dotterelpass/values';
 import type { RetryFailure, Verdict } from '@dotterelpass/values';
 import { ConnectionAgent } from './agent.js';
 import type { ConnectionLimits, ConnectionOptions } from './agent.js';
@@ -79,7 +80,7 @@
 /** Maximum number of informational responses (1xx) to one request. */
 const maxInformationalResponses = 64;
 
-/** Error codes of Node's HTTP parser, which mean that a response is not valid HTTP. */
+/** Error codes of Node's HTTP parser. */
 const parserErrorPattern = /^HPE_/;
 
 /** Pool of connections to one endpoint. */
@@ -250,7 +251,13 @@
         } else attempt.onInformation?.(statusCode);
       });
       outgoing.on('response', (response) => {
-        if (!this.#limits.allowCloseDelimited && isCloseDelimited(response, attempt.method)) {
+        const { statusCode = 0 } = response;
+        if (!isFinalStatus(statusCode)) {
+          fail('bad-answer', `the response has the invalid status ${statusCode}`);
+        } else if (
+          !this.#limits.allowCloseDelimited &&
+          isCloseDelimited(response, attempt.method)
+        ) {
           fail('bad-answer', 'the response has neither a length nor chunks');
         } else finish(ok(response));
       });
@@ -313,10 +320,15 @@
 
 function classifyFailure(error: Error | undefined, verdict: Verdict): AttemptFailure['kind'] {
   if (error instanceof BodyError) return 'bad-body';
-  if (parserErrorPattern.test((error as NodeJS.ErrnoException)?.code ?? '')) return 'bad-answer';
+  if (isParserError(error)) return 'bad-answer';
   return verdict === 'not-run' ? 'connect' : 'reset';
 }
 
+/** Returns whether an error of a request means that the response is not valid HTTP. */
+export function isParserError(error: NodeJS.ErrnoException | undefined): boolean {
+  return parserErrorPattern.test(error?.code ?? '');
+}
+
 /**
  * Whether the connection of a response has carried an earlier request.
  *
--- a/packages/proxy/test/raw.ts
+++ b/packages/proxy/test/raw.ts
@@ -40,3 +40,30 @@
     })();
   });
 }
+
+/** Status lines of responses that are no final response to a request. */
+export const invalidStatusLines = [
+  'HTTP/1.1 000 ',
+  'HTTP/1.1 000 OK',
+  'HTTP/1.1 099 X',
+  // No request of this project asks for an upgrade.
+  'HTTP/1.1 101 Switching Protocols',
+  'HTTP/1.1 600 X',
+  'HTTP/1.1 999 X',
+  'HTTP/1.1 2000 X',
+  'HTTP/1.1 20 X',
+  'HTTP/1.1 -20 X',
+  'HTTP/1.1 OK',
+  'HTTP/1.1 ',
+] as const;
+
+/** Status lines of final responses, at the bounds of what is valid. */
+export const validStatusLines = ['HTTP/1.1 200 OK', 'HTTP/1.1 599 X'] as const;
+
+/** What follows a status line, with and without a body. */
+export const responseRests = {
+  'without a body': 'Content-Length: 0\r\n\r\n',
+  'with a body': 'Content-Length: 4\r\n\r\nbody',
+  'in chunks': 'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n',
+  'without a length': '\r\nbody',
+} as const;
--- a/packages/store/src/transport.ts
+++ b/packages/store/src/transport.ts
@@ -4,7 +4,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Metrics } from '@dotterelpass/telemetry';
-import { ByteCollector } from '@dotterelpass/values';
+import { ByteCollector, isFinalStatus } from '@dotterelpass/values';
 import type { FleetRates, RateBudget } from './budget.js';
 
 /** A failed platform call. */
@@ -34,7 +34,7 @@
   readonly budget: keyof FleetRates | undefined;
 }
 
-/** A complete response of the platform, with any status. */
+/** A complete response of the platform, with any final status. */
 export interface TransportResponse {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
@@ -153,7 +153,19 @@
         const applied = error.code === 'ECONNREFUSED' ? 'no' : 'unknown';
         resolve(err({ kind: 'unreachable', message: error.message, applied }));
       });
+      const rejectResponse = (message: string) => {
+        clearTimeout(timer);
+        outgoing.destroy();
+        resolve(err({ kind: 'bad-answer', message, applied: 'unknown' }));
+      };
+      outgoing.on('upgrade', () => rejectResponse('the response switches protocols'));
       outgoing.on('response', (response) => {
+        const { statusCode: status = 0, headers } = response;
+        if (!isFinalStatus(status)) {
+          response.on('error', () => undefined);
+          rejectResponse(`the response has the invalid status ${status}`);
+          return;
+        }
         const bytes = new ByteCollector();
         response.on('data', (chunk: Buffer) => {
           bytes.add(chunk);
@@ -167,7 +179,6 @@
             resolve(err({ kind: 'unreachable', message, applied: 'unknown' }));
             return;
           }
-          const { statusCode: status = 0, headers } = response;
           resolve(ok({ status, headers, body: bytes.toBuffer() }));
         });
       });
--- a/packages/store/test/client.test.ts
+++ b/packages/store/test/client.test.ts
@@ -57,6 +57,26 @@
     },
   );
 
+  /** Guards against a refusal that proves nothing, and against a success of a write that was lost. */
+  it.each([
+    'HTTP/1.1 000 ',
+    'HTTP/1.1 099 X',
+    'HTTP/1.1 101 Switching Protocols',
+    'HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade',
+    'HTTP/1.1 600 X',
+    'HTTP/1.1 999 X',
+    'HTTP/1.1 OK',
+  ])('does not know the outcome of a write with response %s', async (line) => {
+    const { client } = await openPlatform((_request, { socket }) => {
+      socket?.write(`${line}\r\nContent-Length: 4\r\n\r\ntrue`);
+    });
+    const writes = [
+      await client.compareAndSwap('a', Buffer.from('x'), 1),
+      await client.compareAndSwap('a', Buffer.from('x'), 1),
+    ];
+    expect(writes).toMatchObject(writes.map(() => ({ error: { applied: 'unknown' } })));
+  });
+
   /** Guards against a response without end that fills the memory until the timeout. */
   it('ends a response that is too large', async () => {
     let sentBytes = 0;
--- a/packages/values/src/index.ts
+++ b/packages/values/src/index.ts
@@ -6,3 +6,4 @@
 export * from './random.js';
 export * from './hash.js';
 export * from './service.js';
+export * from './status.js';
