--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -315,9 +315,10 @@
         await backoff.sleep();
         continue;
       }
+      // Only the newest is applied, or the one before it when it is invalid or its version is older.
       changes.value.items
         .filter(({ key }) => key === schema.configKey)
-        .forEach((item) => this.#applyConfig(item, 'store'));
+        .findLast((item) => this.#applyConfig(item, 'store'));
       this.#configCheckedAt = clock.now();
       ({ position } = changes.value);
     }
@@ -426,20 +427,22 @@
     log.warn('store-restored', { before, now: epoch });
   }
 
-  #applyConfig(item: StoreItem, source: string): void {
+  /** @returns Whether the configuration is in force, now or already; an invalid one never is. */
+  #applyConfig(item: StoreItem, source: string): boolean {
     const { schema, target, log, metrics } = this.#options;
     const config = schema.decodeConfig(item.value);
     if (config.isErr()) {
       metrics.recordEvent('configuration-unreadable');
       log.error('configuration-unreadable', { revision: item.revision, reason: config.error });
-      return;
+      return false;
     }
     const { version } = config.value;
-    if (version <= this.#configVersion) return;
+    if (version <= this.#configVersion) return version === this.#configVersion;
     this.#configItem = item;
     this.#configVersion = version;
     target.setConfig(config.value, source);
     this.#options.onChange();
+    return true;
   }
 
   #decodeRegistration({ key, value, revision }: StoreItem): Registration | undefined {
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -1,5 +1,6 @@
 import type { ServiceId } from '@dotterelpass/values';
 import type { GatewayConfig, Route, RouteName } from './catalog.js';
+import { PrefixTable } from './prefixes.js';
 
 /**
  * Current weights of the targets of a route, as in smooth weighted round robin: the target with the
@@ -11,10 +12,12 @@
 export class RouteTable {
   #version = -1;
 
-  #hosts = new Map<string, readonly Route[]>();
+  #routes: readonly Route[] = [];
 
-  /** Priorities of the routes of each service; 0 is the most urgent. */
-  #priorities = new Map<ServiceId, ReadonlySet<number>>();
+  readonly #hosts = new Map<string, PrefixTable>();
+
+  /** Numbers of routes of each service by their priority; 0 is the most urgent. */
+  readonly #priorities = new Map<ServiceId, Map<number, number>>();
 
   /** Kept across configurations, so that the shares also hold when these change often. */
   #currentWeights = new Map<RouteName, CurrentWeights>();
@@ -25,25 +28,21 @@
   }
 
   /**
-   * Replaces the configuration by a newer one.
+   * Replaces the configuration by a newer one. What belongs to routes that are the same objects as
+   * before is kept.
    *
    * @param config - The configuration.
    * @returns False when the version is not newer than that of the present configuration.
    */
-  setConfig(config: GatewayConfig): boolean {
-    if (config.version <= this.#version) return false;
-    const hosts = new Map<string, Route[]>();
-    config.routes.forEach((route) => {
-      const existing = hosts.get(route.host);
-      if (existing) existing.push(route);
-      else hosts.set(route.host, [route]);
-    });
-    hosts.forEach((routes) => routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
-    const names = new Set(config.routes.map(({ name }) => name));
-    this.#currentWeights = new Map([...this.#currentWeights].filter(([name]) => names.has(name)));
-    this.#hosts = hosts;
-    this.#priorities = groupPriorities(config.routes);
-    this.#version = config.version;
+  setConfig({ version, routes }: GatewayConfig): boolean {
+    if (version <= this.#version) return false;
+    const { removed, added } = findChangedRun(this.#routes, routes);
+    this.#rebuildHosts(removed, added, routes);
+    this.#countPriorities(removed, -1);
+    this.#countPriorities(added, 1);
+    this.#removeWeights(removed, added, routes);
+    this.#routes = routes;
+    this.#version = version;
     return true;
   }
 
@@ -54,17 +53,17 @@
    * @param path - Path without query.
    */
   findRoute(host: string, path: string): Route | undefined {
-    return this.#hosts.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    return this.#hosts.get(host)?.findRoute(path);
   }
 
   /** Whether a service also has routes of a less urgent priority than this route. */
   isUrgent({ priority }: Route, service: ServiceId): boolean {
-    return [...(this.#priorities.get(service) ?? [])].some((other) => other > priority);
+    return [...(this.#priorities.get(service)?.keys() ?? [])].some((other) => other > priority);
   }
 
   /** Whether a service also has routes of a more urgent priority than this route. */
   isDeferrable({ priority }: Route, service: ServiceId): boolean {
-    return [...(this.#priorities.get(service) ?? [])].some((other) => other < priority);
+    return [...(this.#priorities.get(service)?.keys() ?? [])].some((other) => other < priority);
   }
 
   /**
@@ -100,16 +99,80 @@
     this.#currentWeights.set(name, weights);
     return weights;
   }
-}
 
-function groupPriorities(routes: readonly Route[]): Map<ServiceId, ReadonlySet<number>> {
-  const groups = new Map<ServiceId, Set<number>>();
-  routes.forEach(({ targets, priority }) => {
-    targets.forEach(({ service }) => {
-      const existing = groups.get(service);
-      if (existing) existing.add(priority);
-      else groups.set(service, new Set([priority]));
+  #rebuildHosts(
+    removed: readonly Route[],
+    added: readonly Route[],
+    routes: readonly Route[],
+  ): void {
+    const before = groupByHost(removed);
+    const after = groupByHost(added);
+    const changed = new Set(
+      [...before.keys(), ...after.keys()].filter(
+        (host) => !isSameList(before.get(host) ?? [], after.get(host) ?? []),
+      ),
+    );
+    if (changed.size === 0) return;
+    const lists = groupByHost(routes.filter(({ host }) => changed.has(host)));
+    changed.forEach((host) => {
+      const list = lists.get(host);
+      if (list) this.#hosts.set(host, new PrefixTable(list));
+      else this.#hosts.delete(host);
     });
+  }
+
+  #countPriorities(routes: readonly Route[], change: 1 | -1): void {
+    routes.forEach(({ targets, priority }) => {
+      targets.forEach(({ service }) => {
+        const counts = this.#priorities.get(service) ?? new Map<number, number>();
+        const count = (counts.get(priority) ?? 0) + change;
+        if (count > 0) counts.set(priority, count);
+        else counts.delete(priority);
+        if (counts.size > 0) this.#priorities.set(service, counts);
+        else this.#priorities.delete(service);
+      });
+    });
+  }
+
+  /** Removes the weights of routes that are gone, when any route that was removed is gone. */
+  #removeWeights(
+    removed: readonly Route[],
+    added: readonly Route[],
+    routes: readonly Route[],
+  ): void {
+    const addedNames = new Set(added.map(({ name }) => name));
+    if (removed.every(({ name }) => addedNames.has(name))) return;
+    const names = new Set(routes.map(({ name }) => name));
+    this.#currentWeights = new Map([...this.#currentWeights].filter(([name]) => names.has(name)));
+  }
+}
+
+/** Finds the shortest runs of routes outside of which two lists have the same objects. */
+function findChangedRun(
+  before: readonly Route[],
+  after: readonly Route[],
+): { readonly removed: readonly Route[]; readonly added: readonly Route[] } {
+  const maxCommon = Math.min(before.length, after.length);
+  let start = 0;
+  while (start < maxCommon && before[start] === after[start]) start += 1;
+  let end = 0;
+  while (end < maxCommon - start && before.at(-1 - end) === after.at(-1 - end)) end += 1;
+  return {
+    removed: before.slice(start, before.length - end),
+    added: after.slice(start, after.length - end),
+  };
+}
+
+function groupByHost(routes: readonly Route[]): Map<string, Route[]> {
+  const groups = new Map<string, Route[]>();
+  routes.forEach((route) => {
+    const existing = groups.get(route.host);
+    if (existing) existing.push(route);
+    else groups.set(route.host, [route]);
   });
   return groups;
 }
+
+function isSameList(a: readonly Route[], b: readonly Route[]): boolean {
+  return a.length === b.length && a.every((route, index) => route === b[index]);
+}
--- a/packages/gateway/test/replica.test.ts
+++ b/packages/gateway/test/replica.test.ts
@@ -72,6 +72,58 @@
   }
 }
 
+/** Texts of the configurations that were decoded. */
+let decodedTexts: string[];
+
+/** A store whose first watch reports configurations, given by their versions, all at once. */
+class WatchedStore extends KeyValueStore {
+  readonly #texts: readonly string[];
+
+  isReported = false;
+
+  /** Number of texts that had been decoded before the report. */
+  decodedBefore = 0;
+
+  constructor(texts: readonly string[]) {
+    super();
+    this.#texts = texts;
+  }
+
+  override async read(key: string): ReturnType<KeyValueStore['read']> {
+    return ok({ item: { key, value: Buffer.from('1'), ...at(1) }, position: at(1) });
+  }
+
+  override async list(): Promise<Result<StoreListing, PlatformError>> {
+    return ok({ items: [], position: at(1) });
+  }
+
+  override async watch(key: string): ReturnType<KeyValueStore['watch']> {
+    if (this.isReported) return new Promise<never>(() => {});
+    this.decodedBefore = decodedTexts.length;
+    this.isReported = true;
+    const items = this.#texts.map((text, index) => ({
+      key,
+      value: Buffer.from(text),
+      ...at(index + 2),
+    }));
+    return ok({ kind: 'changes', items, position: at(items.length + 1) });
+  }
+
+  override async put(): Promise<never> {
+    throw new Error('not used');
+  }
+
+  override async create(): Promise<never> {
+    throw new Error('not used');
+  }
+
+  override async createLease(): Promise<never> {
+    throw new Error('not used');
+  }
+
+  override close(): void {}
+}
+
 const makeRegistration = (id: string): Registration => ({
   id: id as EndpointId,
   service: 'a' as ServiceId,
@@ -96,6 +148,17 @@
 /** Ids of the endpoints, for each call of `setRegistrations`. */
 let appliedIds: (readonly string[])[];
 
+/** Versions of the configurations that were put into force. */
+let appliedVersions: number[];
+
+/** Decodes a configuration whose text is its version. */
+function decodeVersion(value: Buffer): Result<GatewayConfig, string> {
+  const text = value.toString();
+  decodedTexts.push(text);
+  const version = Number(text);
+  return Number.isInteger(version) ? ok({ version } as GatewayConfig) : err('no version');
+}
+
 function makeReplica(
   store: KeyValueStore = new UnavailableStore(),
   replicaClock: Clock = clock,
@@ -105,12 +168,14 @@
     schema: {
       configKey: 'config',
       registrationPrefix: 'servers/',
-      decodeConfig: () => err('not used'),
+      decodeConfig: decodeVersion,
       decodeRegistration: (key) => ok(makeRegistration(key)),
     },
     target: {
       version: 0,
-      setConfig: (_catalog: GatewayConfig) => undefined,
+      setConfig: ({ version }: GatewayConfig) => {
+        appliedVersions.push(version);
+      },
       setRegistrations: (list) => {
         appliedIds.push(list.map(({ id }) => id));
       },
@@ -127,6 +192,8 @@
 
 beforeEach(() => {
   appliedIds = [];
+  appliedVersions = [];
+  decodedTexts = [];
   changeCount = 0;
   setLogDestination({ write: () => undefined });
 });
@@ -271,6 +338,31 @@
   });
 });
 
+describe('configurations that a watch reports together', () => {
+  /**
+   * Guards against an instance that applies, one after the other, all versions that were written while
+   * it was busy, and against an older or an invalid version in force.
+   */
+  it.each([
+    { texts: ['2', '3', '4'], applied: [1, 4], decoded: ['4'] },
+    { texts: ['2', '3', 'invalid'], applied: [1, 3], decoded: ['invalid', '3'] },
+    { texts: ['invalid', 'invalid'], applied: [1], decoded: ['invalid', 'invalid'] },
+    { texts: ['3', '0'], applied: [1, 3], decoded: ['0', '3'] },
+    { texts: ['1', '1'], applied: [1], decoded: ['1'] },
+  ])('are applied as $applied: $texts', async ({ texts, applied, decoded }) => {
+    const store = new WatchedStore(texts);
+    const replica = makeReplica(store, systemClock);
+    replica.start();
+    await vi.waitFor(() => expect(store.isReported).toBe(true), 5000);
+    replica.stop();
+    expect(decodedTexts.slice(store.decodedBefore)).toEqual(decoded);
+    expect(appliedVersions).toEqual(applied);
+    // Other instances get the one in force.
+    const { catalog } = replica.buildUpdate({ registrations: at(0), configVersion: 0 });
+    expect(catalog?.value.toString()).toBe(String(applied.at(-1)));
+  });
+});
+
 describe('a store outage', () => {
   /** Guards against two tasks that both ask a store that is down: refused calls are counted too. */
   it('is followed by the task that lists the registrations only', async () => {
--- a/packages/gateway/test/routes.test.ts
+++ b/packages/gateway/test/routes.test.ts
@@ -1,4 +1,5 @@
 import type { ServiceId } from '@dotterelpass/values';
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import type { GatewayConfig, Route, RouteName } from '../src/catalog.js';
 import { CallerTimeouts } from '../src/timeouts.js';
@@ -38,6 +39,84 @@
     expect(table.findRoute('other', path)).toBeUndefined();
   });
 
+  /**
+   * Guards against routes that stay in force or go missing when only the tables of changed hosts are
+   * built, and against other routes than the longest prefix, of which the first in the list counts.
+   */
+  it('finds after any changes what a search of all routes finds', () => {
+    const hosts = ['h', 'i', 'j'];
+    const prefixes = ['/', '/a/', '/a/b/', '/a/b/c/', '/b/', '//', '/a//', '', '/a', '/a/b', 'a/'];
+    const services = ['a', 'b', 'c'] as ServiceId[];
+    const paths = [...prefixes, '/a/b/c', '/a/bc/', '/a/b/c/d/e', '/ab', '/b/x', '/b//x', '///'];
+    const routes = fc
+      .record({
+        host: fc.constantFrom(...hosts),
+        prefix: fc.constantFrom(...prefixes),
+        service: fc.constantFrom(...services),
+        priority: fc.nat(3),
+      })
+      .map(({ host, prefix, service, priority }) =>
+        makeRoute(prefix, { host, priority, targets: [{ service, weight: 1 }] }),
+      );
+    const edit = fc.record({
+      at: fc.nat(12),
+      remove: fc.nat(3),
+      insert: fc.array(routes, { maxLength: 3 }),
+      moves: fc.boolean(),
+    });
+    const initial = fc.array(routes, { maxLength: 12 });
+    fc.assert(
+      fc.property(initial, fc.array(edit, { maxLength: 6 }), (list, edits) => {
+        const table = new RouteTable();
+        let present = list;
+        [undefined, ...edits].forEach((change, version) => {
+          if (change) {
+            const { at, remove, insert, moves } = change;
+            const removed = present.slice(at, at + remove);
+            present = [
+              ...(moves ? removed : []),
+              ...present.slice(0, at),
+              ...insert,
+              ...present.slice(at + remove),
+            ];
+          }
+          table.setConfig(makeCatalog(version, ...present));
+          const byLength = present.toSorted((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+          hosts.forEach((host) =>
+            paths.forEach((path) => {
+              const expected = byLength.find(
+                (route) => route.host === host && path.startsWith(route.pathPrefix),
+              );
+              expect(table.findRoute(host, path)).toBe(expected);
+            }),
+          );
+          services.forEach((service) => {
+            const priorities = present
+              .filter(({ targets }) => targets[0]?.service === service)
+              .map(({ priority }) => priority);
+            [0, 1, 2, 3].forEach((priority) => {
+              const route = makeRoute('/', { priority });
+              const isUrgent = priorities.some((other) => other > priority);
+              expect(table.isUrgent(route, service)).toBe(isUrgent);
+              const isDeferrable = priorities.some((other) => other < priority);
+              expect(table.isDeferrable(route, service)).toBe(isDeferrable);
+            });
+          });
+        });
+      }),
+      { numRuns: 300, seed: 14 },
+    );
+  });
+
+  /** Guards against a call whose path has as many segments as a request line can hold. */
+  it('finds the route of a path with thousands of segments', () => {
+    const table = new RouteTable();
+    const long = makeRoute(`/${'a/'.repeat(1000)}`);
+    table.setConfig(makeCatalog(1, makeRoute('/a/'), long));
+    expect(table.findRoute('h', `/${'a/'.repeat(8000)}`)).toBe(long);
+    expect(table.findRoute('h', `/a/${'/'.repeat(8000)}`)?.pathPrefix).toBe('/a/');
+  });
+
   /** Guards against a configuration that is replaced by an older version. */
   it.each([
     { version: 6, replaced: true },
--- a/packages/proxy/test/status.test.ts
+++ b/packages/proxy/test/status.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { ConnectionPool } from '../src/index.js';
-import type { Attempt } from '../src/index.js';
+import type { Attempt, RequestBody } from '../src/index.js';
 import { invalidStatusLines, responseRests, validStatusLines } from './raw.js';
 
 const ok = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
@@ -87,7 +87,7 @@
 
   it.each(invalidStatusLines)('is refused with %s for a request with a body', async (line) => {
     const endpoint = await openEndpoint(`${line}\r\nContent-Length: 0\r\n\r\n`);
-    const body = { kind: 'whole', bytes: Buffer.from('body'), trailers: [] } as const;
+    const body: RequestBody = { kind: 'whole', bytes: Buffer.from('body'), trailers: [] };
     expect(await send(endpoint, { method: 'POST', body })).toBe('bad-answer may-have-run');
     expect(await send(endpoint, { method: 'HEAD' })).toBe('bad-answer may-have-run');
   });
