Change the table of a host by the routes that changed

A host with many routes had its whole table built for each version, and the names of all routes were collected. A route whose prefix no other route of the host has is now replaced in the table, and the names are collected only when one was added or removed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -233,14 +233,16 @@
    * @param source - `store` or the id of the sending instance, for the log.
    */
   setConfig(config: GatewayConfig, source: string): void {
-    const previousVersion = this.#routes.version;
+    const { version: previousVersion, names: previousNames } = this.#routes;
     if (!this.#routes.setConfig(config)) return;
     this.#config = config;
     this.#callers.setLimits(config.bounds);
     this.#registry.updateConnectionLimits();
-    const names = new Set(config.routes.map(({ name }) => name));
-    this.#callerTimeouts.retainRoutes(names);
-    this.#latency.retainRoutes(names);
+    const { names } = this.#routes;
+    if (names !== previousNames) {
+      this.#callerTimeouts.retainRoutes(names);
+      this.#latency.retainRoutes(names);
+    }
     const { version, routes, services } = config;
     this.#options.log.info('configuration-in-force', {
       version,
--- a/packages/gateway/src/prefixes.ts
+++ b/packages/gateway/src/prefixes.ts
@@ -7,28 +7,44 @@
   /** Routes whose prefix ends with a slash. */
   readonly #byPrefix = new Map<string, Route>();
 
-  /** Lengths of the prefixes that end with a slash. */
-  readonly #lengths = new Set<number>();
+  /** Numbers of the prefixes that end with a slash, by length. */
+  readonly #lengths = new Map<number, number>();
 
-  readonly #maxLength: number;
+  /** The length of the longest prefix that ends with a slash, or more. */
+  #maxLength = 0;
 
   /** Routes with other prefixes, which the configuration should not have, longest prefix first. */
   readonly #others: readonly Route[];
 
+  /** Whether routes have the same prefix, so that their order counts. */
+  #hasDuplicates = false;
+
   constructor(routes: readonly Route[]) {
     const others: Route[] = [];
-    let maxLength = 0;
     routes.forEach((route) => {
-      const { pathPrefix } = route;
-      if (!pathPrefix.endsWith('/')) others.push(route);
-      else if (!this.#byPrefix.has(pathPrefix)) {
-        this.#byPrefix.set(pathPrefix, route);
-        this.#lengths.add(pathPrefix.length);
-        maxLength = Math.max(maxLength, pathPrefix.length);
-      }
+      if (!isRegular(route)) others.push(route);
+      else if (this.#byPrefix.has(route.pathPrefix)) this.#hasDuplicates = true;
+      else this.#addRoute(route);
     });
     this.#others = others.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
-    this.#maxLength = maxLength;
+  }
+
+  /**
+   * Replaces routes, if the order of the routes does not count.
+   *
+   * @param removed - Routes of this table.
+   * @param added - Routes that take their place.
+   * @returns False when the table has to be built anew; it is unchanged then.
+   */
+  replaceRoutes(removed: readonly Route[], added: readonly Route[]): boolean {
+    const freed = new Set(removed.map(({ pathPrefix }) => pathPrefix));
+    const taken = new Set(added.map(({ pathPrefix }) => pathPrefix));
+    const isFree = (prefix: string) => freed.has(prefix) || !this.#byPrefix.has(prefix);
+    if (this.#hasDuplicates || taken.size < added.length || ![...taken].every(isFree)) return false;
+    if (![...removed, ...added].every(isRegular)) return false;
+    removed.forEach((route) => this.#removeRoute(route));
+    added.forEach((route) => this.#addRoute(route));
+    return true;
   }
 
   /** Finds the route with the longest prefix that a path begins with. */
@@ -39,6 +55,21 @@
     return other.pathPrefix.length > route.pathPrefix.length ? other : route;
   }
 
+  #addRoute(route: Route): void {
+    const { pathPrefix } = route;
+    const { length } = pathPrefix;
+    this.#byPrefix.set(pathPrefix, route);
+    this.#lengths.set(length, (this.#lengths.get(length) ?? 0) + 1);
+    this.#maxLength = Math.max(this.#maxLength, length);
+  }
+
+  #removeRoute({ pathPrefix }: Route): void {
+    const count = (this.#lengths.get(pathPrefix.length) ?? 0) - 1;
+    this.#byPrefix.delete(pathPrefix);
+    if (count > 0) this.#lengths.set(pathPrefix.length, count);
+    else this.#lengths.delete(pathPrefix.length);
+  }
+
   #findByPrefix(path: string): Route | undefined {
     // Paths may have thousands of slashes, but only as many lengths as prefixes have are looked up.
     for (
@@ -53,3 +84,7 @@
     return undefined;
   }
 }
+
+function isRegular({ pathPrefix }: Route): boolean {
+  return pathPrefix.endsWith('/');
+}
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -14,6 +14,8 @@
 
   #routes: readonly Route[] = [];
 
+  #names: ReadonlySet<RouteName> = new Set();
+
   readonly #hosts = new Map<string, PrefixTable>();
 
   /** Numbers of routes of each service by their priority; 0 is the most urgent. */
@@ -27,6 +29,11 @@
     return this.#version;
   }
 
+  /** Names of the routes; the same set as before unless a name was added or removed. */
+  get names(): ReadonlySet<RouteName> {
+    return this.#names;
+  }
+
   /**
    * Replaces the configuration by a newer one. What belongs to routes that are the same objects as
    * before is kept.
@@ -40,7 +47,7 @@
     this.#rebuildHosts(removed, added, routes);
     this.#countPriorities(removed, -1);
     this.#countPriorities(added, 1);
-    this.#removeWeights(removed, added, routes);
+    this.#updateNames(removed, added, routes);
     this.#routes = routes;
     this.#version = version;
     return true;
@@ -107,13 +114,12 @@
   ): void {
     const before = groupByHost(removed);
     const after = groupByHost(added);
-    const changed = new Set(
-      [...before.keys(), ...after.keys()].filter(
-        (host) => !isSameList(before.get(host) ?? [], after.get(host) ?? []),
-      ),
+    const changed = [...new Set([...before.keys(), ...after.keys()])].filter(
+      (host) => !this.#replaceHost(host, before.get(host) ?? [], after.get(host) ?? []),
     );
-    if (changed.size === 0) return;
-    const lists = groupByHost(routes.filter(({ host }) => changed.has(host)));
+    if (changed.length === 0) return;
+    const hosts = new Set(changed);
+    const lists = groupByHost(routes.filter(({ host }) => hosts.has(host)));
     changed.forEach((host) => {
       const list = lists.get(host);
       if (list) this.#hosts.set(host, new PrefixTable(list));
@@ -121,6 +127,12 @@
     });
   }
 
+  /** @returns False when the table of the host has to be built anew. */
+  #replaceHost(host: string, removed: readonly Route[], added: readonly Route[]): boolean {
+    if (isSameList(removed, added)) return true;
+    return added.length > 0 && this.#hosts.get(host)?.replaceRoutes(removed, added) === true;
+  }
+
   #countPriorities(routes: readonly Route[], change: 1 | -1): void {
     routes.forEach(({ targets, priority }) => {
       targets.forEach(({ service }) => {
@@ -134,15 +146,12 @@
     });
   }
 
-  /** Removes the weights of routes that are gone, when any route that was removed is gone. */
-  #removeWeights(
-    removed: readonly Route[],
-    added: readonly Route[],
-    routes: readonly Route[],
-  ): void {
-    const addedNames = new Set(added.map(({ name }) => name));
-    if (removed.every(({ name }) => addedNames.has(name))) return;
+  #updateNames(removed: readonly Route[], added: readonly Route[], routes: readonly Route[]): void {
+    const before = new Set(removed.map(({ name }) => name));
+    const after = new Set(added.map(({ name }) => name));
+    if (before.size === after.size && [...before].every((name) => after.has(name))) return;
     const names = new Set(routes.map(({ name }) => name));
+    this.#names = names;
     this.#currentWeights = new Map([...this.#currentWeights].filter(([name]) => names.has(name)));
   }
 }
