Share the raw HTTP client between the tests of proxy and gateway

The test of statuses in the gateway had a client of its own that did what `exchange` of packages/proxy does, and three files each imported the lists of status lines across packages. They come from test/raw.ts now, and a connection that is reset fails the test.

--- a/packages/gateway/test/handover.test.ts
+++ b/packages/gateway/test/handover.test.ts
@@ -7,11 +7,9 @@
 import type { InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Call, CallResult, CallTrace } from '../src/call.js';
-// The lists of status lines are shared with the tests of packages/proxy.
-// eslint-disable-next-line import-x/no-relative-packages
-import { invalidStatusLines } from '../../proxy/test/raw.js';
 import { CallHandover, parseHandover } from '../src/handover.js';
 import type { Reach } from '../src/reach.js';
+import { invalidStatusLines } from './raw.js';
 
 const service = 'a' as ServiceId;
 
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -15,10 +15,8 @@
 } from '../src/codec.js';
 import { BackpressureRecorder } from '../src/backpressure.js';
 import { Endpoint } from '../src/endpoint.js';
-// The lists of status lines are shared with the tests of packages/proxy.
-// eslint-disable-next-line import-x/no-relative-packages
-import { invalidStatusLines } from '../../proxy/test/raw.js';
 import { createBackpressure } from './backpressure.js';
+import { invalidStatusLines } from './raw.js';
 import { Prober } from '../src/prober.js';
 
 /** Reads the load from the header `load`, which holds the number of running calls. */
--- a/packages/gateway/test/status.test.ts
+++ b/packages/gateway/test/status.test.ts
@@ -1,10 +1,7 @@
-import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-// The lists of status lines are shared with the tests of packages/proxy.
-// eslint-disable-next-line import-x/no-relative-packages
-import { invalidStatusLines, responseRests, validStatusLines } from '../../proxy/test/raw.js';
 import { GatewayBed } from './bed.js';
+import { exchange, invalidStatusLines, responseRests, validStatusLines } from './raw.js';
 
 const good = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood';
 const healthy = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
@@ -50,17 +47,10 @@
 }
 
 /** Sends requests on one connection, and returns what came back until the connection closed. */
-async function exchange(...requests: string[]): Promise<string> {
-  return new Promise((resolve) => {
-    let text = '';
-    const socket = connect(bed.port, '127.0.0.1');
-    socket.on('data', (chunk) => {
-      text += chunk.toString('latin1');
-    });
-    socket.on('error', () => undefined);
-    socket.on('close', () => resolve(text));
-    socket.write(requests.join(''));
-  });
+async function send(...requests: string[]): Promise<string> {
+  const { text, end } = await exchange(bed.port, requests);
+  expect(end).toBe('end');
+  return text;
 }
 
 const format = (path: string, method = 'GET', headers = '') =>
@@ -95,7 +85,7 @@
     'ends a call that may run once: $line $rest, request $body',
     async ({ bad, request }) => {
       await start(bad);
-      const text = await exchange(request);
+      const text = await send(request);
       expect(listStatuses(text)).toEqual([502]);
       expect(text).toContain('x-request-outcome: may-have-run');
       expect(asked.flat()).toEqual(['/bad']);
@@ -107,7 +97,7 @@
     async ({ bad, request }) => {
       await start(bad, good);
       bed.setRoute({ repeat: 'idempotent' });
-      const text = await exchange(request);
+      const text = await send(request);
       expect(listStatuses(text)).toEqual([200]);
       expect(text).toMatch(/good$/);
       expect(asked).toEqual([['/bad'], ['/bad']]);
@@ -119,7 +109,7 @@
     async ({ bad, request }) => {
       await start(bad);
       bed.setRoute({ repeat: 'idempotent' });
-      const text = await exchange(request);
+      const text = await send(request);
       expect(listStatuses(text)).toEqual([502]);
       expect(text).toContain('x-request-outcome: may-have-run');
       expect(asked).toEqual([['/bad'], ['/bad']]);
@@ -129,7 +119,7 @@
   /** Guards against responses that reach the wrong calls of a connection, or none. */
   it.each(invalidStatusLines)('keeps its place among pipelined calls: %s', async (line) => {
     await start(`${line}\r\nContent-Length: 4\r\n\r\nbody`);
-    const text = await exchange(
+    const text = await send(
       ...['/first', '/bad', '/second', '/bad'].map((path) => `${format(path)}\r\n`),
       `${format('/last', 'GET', last)}\r\n`,
     );
@@ -141,13 +131,13 @@
   it.each(invalidStatusLines)('closes the connection that was kept: %s', async (line) => {
     await start(`${line}\r\nContent-Length: 0\r\n\r\n`);
     const path = (name: string) => `${format(name, 'GET', last)}\r\n`;
-    for (let count = 0; count < 4; count++) await exchange(path('/good'));
+    for (let count = 0; count < 4; count++) await send(path('/good'));
     const openBefore = sockets.filter(({ destroyed }) => !destroyed).length;
-    expect(listStatuses(await exchange(path('/bad')))).toEqual([502]);
+    expect(listStatuses(await send(path('/bad')))).toEqual([502]);
     await vi.waitFor(() =>
       expect(sockets.filter(({ destroyed }) => !destroyed)).toHaveLength(openBefore - 1),
     );
-    expect(listStatuses(await exchange(path('/good')))).toEqual([200]);
+    expect(listStatuses(await send(path('/good')))).toEqual([200]);
   });
 
   /** Guards against informational responses without end, and against one that counts as the last. */
@@ -155,14 +145,14 @@
     'comes after any number of informational ones: %s',
     async (status) => {
       await start(`HTTP/1.1 ${status}\r\n\r\n`.repeat(100));
-      const text = await exchange(`${format('/bad', 'GET', last)}\r\n`);
+      const text = await send(`${format('/bad', 'GET', last)}\r\n`);
       expect(listStatuses(text)).toEqual([502]);
     },
   );
 
   it.each(validStatusLines)('is not one with a valid status: %s', async (line) => {
     await start(`${line}\r\nContent-Length: 4\r\n\r\nbody`);
-    const text = await exchange(`${format('/bad', 'GET', last)}\r\n`);
+    const text = await send(`${format('/bad', 'GET', last)}\r\n`);
     expect(text.startsWith(line.slice(0, 12))).toBe(true);
     expect(text).toMatch(/body$/);
   });
