--- a/packages/gateway/src/operator-keys.ts
+++ b/packages/gateway/src/operator-keys.ts
@@ -21,6 +21,7 @@
 import type { Clock, FailureDomain, Random } from '@dotterelpass/values';
 import { ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { GatewayConfig } from './catalog.js';
 import type { EvacuationKeys, ReplicaTarget, StoreSchema } from './schema.js';
 
 /**
@@ -299,9 +300,7 @@
       const next = applyChanges(this.#evacuations, { after, position, events });
       this.#setEvacuations(next, 'store', 0);
     }
-    items
-      .filter(({ key }) => key === configKey)
-      .forEach((item) => this.#applyConfig(item, 'store'));
+    this.#applyNewestConfig(items.filter(({ key }) => key === configKey));
   }
 
   /** Selects the keys of evacuations, and logs those that name no failure domain. */
@@ -357,6 +356,19 @@
     if (hasChanged || !isKnown(before)) this.#options.onChange();
   }
 
+  /** Applies the highest valid version of several that arrive together; each costs a rebuild. */
+  #applyNewestConfig(items: readonly StoreItem[]): void {
+    const versions = items.flatMap((item) => {
+      const config = this.#decodeConfig(item);
+      return config ? [{ item, config }] : [];
+    });
+    const newest = versions.reduce<(typeof versions)[number] | undefined>(
+      (best, next) => (best && best.config.version > next.config.version ? best : next),
+      undefined,
+    );
+    if (newest) this.#putInForce(newest.item, newest.config, 'store');
+  }
+
   #getSharedConfigItem(): StoreItem | undefined {
     const item = this.#configItem;
     this.#sharedConfigItem ??= item && {
@@ -367,19 +379,26 @@
   }
 
   #applyConfig(item: StoreItem, source: string): void {
-    const { schema, target, log, metrics } = this.#options;
+    const config = this.#decodeConfig(item);
+    if (config) this.#putInForce(item, config, source);
+  }
+
+  #decodeConfig(item: StoreItem): GatewayConfig | undefined {
+    const { schema, log, metrics } = this.#options;
     const config = schema.decodeConfig(item.value);
-    if (config.isErr()) {
-      metrics.recordEvent('configuration-unreadable');
-      log.error('configuration-unreadable', { revision: item.revision, reason: config.error });
-      return;
-    }
-    const { version } = config.value;
-    if (version <= this.#configVersion) return;
+    if (config.isOk()) return config.value;
+    metrics.recordEvent('configuration-unreadable');
+    log.error('configuration-unreadable', { revision: item.revision, reason: config.error });
+    return undefined;
+  }
+
+  #putInForce(item: StoreItem, config: GatewayConfig, source: string): void {
+    const { target, onChange } = this.#options;
+    if (config.version <= this.#configVersion) return;
     this.#configItem = item;
-    this.#sharedConfigItem = config.value.workspaces ? undefined : item;
-    this.#configVersion = version;
-    target.setConfig(config.value, source);
-    this.#options.onChange();
+    this.#sharedConfigItem = config.workspaces ? undefined : item;
+    this.#configVersion = config.version;
+    target.setConfig(config, source);
+    onChange();
   }
 }
--- a/packages/gateway/test/handover.test.ts
+++ b/packages/gateway/test/handover.test.ts
@@ -10,6 +10,7 @@
 import { CallHandover } from '../src/handover.js';
 import { MarkSigner, parseHandover } from '../src/mark.js';
 import type { Reach } from '../src/reach.js';
+import { invalidStatusLines } from './raw.js';
 
 const service = 'a' as ServiceId;
 
@@ -144,6 +145,13 @@
     },
     { name: 'a reset', answers: { a: '' }, expected: 'reset may-have-run', count: 1 },
     { name: 'a failure', answers: { a: failed, b: failed }, expected: '502', count: 1 },
+    // A status that is not valid proves nothing, whatever the headers state.
+    ...invalidStatusLines.map((line) => ({
+      name: line,
+      answers: { a: `${line}\r\nX-Request-Outcome: not-run\r\nContent-Length: 0\r\n\r\n` },
+      expected: 'invalid may-have-run',
+      count: 1,
+    })),
     { name: 'an unknown route', answers: { a: unknownRoute }, expected: '404', count: 1 },
     {
       name: 'refusals',
--- a/packages/gateway/test/quota.test.ts
+++ b/packages/gateway/test/quota.test.ts
@@ -29,7 +29,7 @@
   bounds: { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleMs: 1 },
   workspaces: WorkspaceTable.build(
     workspaces.map((workspace, index) => ({ workspace, keyDigests: [hashKey(`key-${index}`)] })),
-  )._unsafeUnwrap(),
+  ).unwrapOr(undefined),
 });
 
 class FakeLimiter extends FleetLimiter {
--- a/packages/quota/src/link.ts
+++ b/packages/quota/src/link.ts
@@ -3,16 +3,17 @@
 import type { CoordinatorStamp, QuotaFailure, QuotaResponse } from './message.js';
 
 /** Time limit of an exchange after which the next coordinator is used. */
-const answerTimeoutMs = 100;
+const answerTimeoutMs = 200;
 
 /** The same before the first answer of a coordinator: a connection may have to be opened. */
 const firstAnswerTimeoutMs = 400;
 
 /**
- * Responses in a row after which a coordinator that was lost is used again. Each change of the
- * coordinator costs a part of the tolerance, so one that responds only now and then stays unused.
+ * Responses in a row after which a coordinator that was lost is used again, about one a second. Each
+ * change of the coordinator costs a part of the tolerance, so one that responds only now and then, as
+ * on a slow instance, stays unused.
  */
-const returnResponses = 3;
+const returnResponses = 10;
 
 /** What an instance knows of one coordinator. */
 export class CoordinatorLink {
