--- a/packages/gateway/src/limiter.ts
+++ b/packages/gateway/src/limiter.ts
@@ -16,7 +16,7 @@
   QuotaResponse,
   QuotaStatus,
 } from '@dotterelpass/quota';
-import type { Logger, Metrics } from '@dotterelpass/telemetry';
+import type { LogFields, Logger, Metrics } from '@dotterelpass/telemetry';
 import type { Clock, InstanceId, Random } from '@dotterelpass/values';
 import type { GatewayConfig } from './catalog.js';
 
@@ -218,12 +218,19 @@
 
   #reportEvent(event: QuotaEvent): void {
     const { log, metrics } = this.#options;
-    const { kind, ...fields } = event;
-    metrics.recordEvent(`quota-${kind}`);
-    log.info(`quota-${kind}`, { ...fields });
+    metrics.recordEvent(`quota-${event.kind}`);
+    log.info(`quota-${event.kind}`, buildLogFields(event));
   }
 }
 
+/** The log hides fields with the name `key`, so the name of a limit is logged as `limit`. */
+function buildLogFields(event: QuotaEvent): LogFields {
+  const { kind, ...fields } = event;
+  if (!('limit' in fields)) return { ...fields };
+  const { key, ...spec } = fields.limit;
+  return { ...fields, ...spec, limit: key };
+}
+
 function parseRequest(body: MessageBody): QuotaRequest | undefined {
   const { groupCount, groups, questions } = body as Partial<QuotaRequest>;
   if (!Number.isSafeInteger(groupCount) || !Array.isArray(groups)) return undefined;
