--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -32,6 +32,8 @@
   readonly body: RequestBody;
   /** The instance that has handed the call over; undefined for a call of a caller. */
   readonly handedOverBy: string | undefined;
+  /** Whether the caller seems to have come back after a refusal. */
+  readonly isReturning: boolean;
   /** Monotonic time at which the target latency ends, in milliseconds. */
   readonly targetDeadlineAt: number;
   /** Monotonic time by which the caller must get its response, in milliseconds. */
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -92,7 +92,8 @@
   readonly endsAt: number;
 }
 
-type CallOrigin = Pick<Call, 'targetDeadlineAt' | 'deadlineAt' | 'handedOverBy'> & CallIdentity;
+type CallOrigin = Pick<Call, 'targetDeadlineAt' | 'deadlineAt' | 'handedOverBy' | 'isReturning'> &
+  CallIdentity;
 
 /** Handles the calls of callers: finds their route, sends them and writes the response. */
 export class CallHandler {
@@ -160,7 +161,13 @@
       incoming,
       id,
       route,
-      { targetDeadlineAt, deadlineAt, handedOverBy: handover?.instance, ...identity.value },
+      {
+        targetDeadlineAt,
+        deadlineAt,
+        handedOverBy: handover?.instance,
+        isReturning: waitedMs > 0,
+        ...identity.value,
+      },
       trace,
     );
     const ms = performance.now() - startedAt;
--- a/packages/gateway/src/limiter.ts
+++ b/packages/gateway/src/limiter.ts
@@ -237,10 +237,12 @@
   const isValid =
     Array.isArray(questions) &&
     questions.every(
-      ({ key, ratePerSecond, burst, version, wanted, returned, denied }: Record<string, unknown>) =>
+      ({ key, ratePerSecond, burst, version, ...counts }: Record<string, unknown>) =>
         typeof key === 'string' &&
         Number(ratePerSecond) > 0 &&
-        [burst, version, wanted, returned, denied].every((value) => Number(value) >= 0),
+        [burst, version, counts.wanted, counts.returning, counts.returned, counts.denied].every(
+          (value) => Number(value) >= 0,
+        ),
     );
   return isValid ? (body as unknown as QuotaRequest) : undefined;
 }
--- a/packages/gateway/src/quota.ts
+++ b/packages/gateway/src/quota.ts
@@ -24,7 +24,7 @@
     const { sender, limiter } = this.#options;
     const limit = this.#findLimit(call);
     if (!limit) return sender.sendCall(call, trace);
-    const decision = await limiter.take(limit);
+    const decision = await limiter.take(limit, call.isReturning);
     if (decision.kind === 'denied') {
       const { ratePerSecond, burst } = limit;
       return {
--- a/packages/quota/src/bounds.ts
+++ b/packages/quota/src/bounds.ts
@@ -25,6 +25,10 @@
 /** Time for which a coordinator counts an instance after it has last heard of it. */
 export const attachmentTtlMs = 2500;
 
+/** Time of the rate, and maximum share of the bucket, that is kept for requests that come first. */
+const reserveMs = 250;
+const maxReserveShare = 0.5;
+
 const endpointPrefix = 'endpoint:';
 
 /** Window in which the requests of a cold endpoint are counted. */
@@ -75,6 +79,18 @@
   return 1 + (extraCapacity + burst + (ratePerSecond * extraCapacityMs) / 1000) * share;
 }
 
+/**
+ * Computes the tokens that requests whose callers have come back leave in the bucket. Under a demand
+ * beyond the limit they would otherwise take the tokens of requests that come for the first time, and
+ * are late already.
+ *
+ * @param rate - Tokens a second that the bucket gets.
+ * @param capacity - Tokens that it holds at most.
+ */
+export function computeReserve(rate: number, capacity: number): number {
+  return Math.min((rate * reserveMs) / 1000, capacity * maxReserveShare);
+}
+
 /**
  * Computes the tokens with which a coordinator starts that takes over a limit: an earlier one may
  * have granted the whole burst just before.
--- a/packages/quota/src/bucket.ts
+++ b/packages/quota/src/bucket.ts
@@ -40,6 +40,11 @@
     return taken;
   }
 
+  /** @returns The number of whole tokens taken, at most `wanted`, of those beyond a reserve. */
+  takeBeyond(reserve: number, wanted: number): number {
+    return this.take(Math.min(wanted, Math.max(0, Math.floor(this.#tokens - reserve))));
+  }
+
   /** Puts tokens back that were not used. */
   put(count: number, capacity: number): void {
     this.#tokens = Math.max(this.#tokens, Math.min(capacity, this.#tokens + count));
--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -218,7 +218,7 @@
     this.#wakeWaiters();
   }
 
-  override async take(spec: LimitSpec): Promise<QuotaDecision> {
+  override async take(spec: LimitSpec, isReturning = false): Promise<QuotaDecision> {
     const limit = this.#getOrCreateLimit(spec);
     if (limit.takeToken()) {
       this.#totals.granted += 1;
@@ -229,7 +229,7 @@
     const link = this.#findLink(limit);
     if (!link) return this.#takeFromShare(limit);
     return new Promise((resolve) => {
-      this.#addWaiter(limit, { resolve, failovers: 0 });
+      this.#addWaiter(limit, { resolve, failovers: 0, isReturning });
       this.#sendSoon(link);
     });
   }
@@ -528,13 +528,13 @@
   }
 
   /** Asks again for a request whose question has not been answered. */
-  #retry(limit: InstanceLimit, { resolve, failovers }: Waiter): void {
+  #retry(limit: InstanceLimit, { resolve, failovers, isReturning }: Waiter): void {
     const link = failovers >= maxFailovers ? undefined : this.#findLink(limit);
     if (!link) {
       resolve(this.#takeFromShare(limit));
       return;
     }
-    this.#addWaiter(limit, { resolve, failovers: failovers + 1 });
+    this.#addWaiter(limit, { resolve, failovers: failovers + 1, isReturning });
     link.setDue();
   }
 
--- a/packages/quota/src/coordinator.ts
+++ b/packages/quota/src/coordinator.ts
@@ -1,5 +1,11 @@
 import type { Clock, InstanceId, LimitKey, Random } from '@dotterelpass/values';
-import { attachmentTtlMs, computeCapacity, computeOverlapRate, computeStart } from './bounds.js';
+import {
+  attachmentTtlMs,
+  computeCapacity,
+  computeOverlapRate,
+  computeReserve,
+  computeStart,
+} from './bounds.js';
 import type { QuotaBounds } from './bounds.js';
 import { TokenBucket } from './bucket.js';
 import { computeGroup } from './groups.js';
@@ -185,7 +191,7 @@
   }
 
   #answerQuestion(question: TokenQuestion, now: number): TokenAnswer {
-    const { key, wanted, returned, denied } = question;
+    const { key, wanted, returning, returned, denied } = question;
     const state = this.#getOrCreateLimit(question, now);
     const { settled, overlapping } = this.#countAttached(key, now);
     const bounds = this.#options.getBounds();
@@ -203,7 +209,10 @@
     state.queuedRequests = Math.max(0, state.queuedRequests - passed) + denied;
     bucket.refill(now, rate, capacity);
     bucket.put(returned, capacity);
-    const granted = bucket.take(wanted);
+    const fresh = wanted - returning;
+    const grantedFresh = bucket.take(fresh);
+    const reserve = computeReserve(rate, capacity);
+    const granted = grantedFresh + bucket.takeBeyond(reserve, returning);
     const { tokens } = bucket;
     const attached = settled + overlapping;
     if (granted === wanted) return { key, granted, dueMs: 0, spanMs: 0, tokens, attached };
--- a/packages/quota/src/limit.ts
+++ b/packages/quota/src/limit.ts
@@ -30,6 +30,8 @@
   readonly resolve: (decision: QuotaDecision) => void;
   /** Coordinators that have not answered its question. */
   readonly failovers: number;
+  /** Whether its caller has come back after a refusal. */
+  readonly isReturning: boolean;
 }
 
 /** A question and the requests for which it asks. */
@@ -162,7 +164,9 @@
    * @returns The question; undefined when there is nothing to ask.
    */
   buildQuestion(): AskedLimit | undefined {
-    const waiters = this.removeWaiters();
+    const waiting = this.removeWaiters();
+    const returning = waiting.filter(({ isReturning }) => isReturning);
+    const waiters = [...waiting.filter(({ isReturning }) => !isReturning), ...returning];
     const served = waiters.filter((waiter) => {
       if (!this.takeToken()) return false;
       waiter.resolve({ kind: 'granted' });
@@ -176,6 +180,7 @@
     const question = {
       ...this.#spec,
       wanted: asking.length,
+      returning: Math.min(asking.length, returning.length),
       returned,
       denied: this.#unreportedDenials,
     };
--- a/packages/quota/src/limiter.ts
+++ b/packages/quota/src/limiter.ts
@@ -23,8 +23,10 @@
    * Takes one token of a limit.
    *
    * @param limit - The limit.
+   * @param isReturning - Whether the caller has come back after a refusal. Its request must not take
+   * the token of one that comes for the first time.
    */
-  abstract take(limit: LimitSpec): Promise<QuotaDecision>;
+  abstract take(limit: LimitSpec, isReturning?: boolean): Promise<QuotaDecision>;
 
   /**
    * Gives back a token of a request that reached no endpoint.
--- a/packages/quota/src/message.ts
+++ b/packages/quota/src/message.ts
@@ -5,6 +5,8 @@
 /** A question for tokens of one limit. */
 export interface TokenQuestion extends LimitSpec {
   readonly wanted: number;
+  /** How many of them are for requests whose callers have come back after a refusal. */
+  readonly returning: number;
   /** Unused tokens that the instance gives back. */
   readonly returned: number;
   /** Requests that the instance has denied since its last question. */
