--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -25,6 +25,9 @@
  */
 const localWaitShare = 0.15;
 
+/** The same for calls with large bodies, whose bytes cost most. */
+const localWaitShareOfLargeBodies = 0.4;
+
 /** Time between two looks for an endpoint, relative to the estimated latency, and its bounds. */
 const pollShare = 0.1;
 const minPollIntervalMs = 10;
@@ -50,6 +53,8 @@
   readonly route: Route;
   readonly workspace?: Workspace | undefined;
   readonly isUrgent: boolean;
+  /** Whether the body is so large that the call should leave its failure domain last. */
+  readonly hasLargeBody?: boolean;
   /** Monotonic time at which the target latency ends, in milliseconds. */
   readonly targetDeadlineAt: number;
   readonly incoming: { readonly cancellation: Cancellation };
@@ -125,7 +130,8 @@
   ): Promise<Admission> {
     const { clock } = this.#options;
     const { cancellation } = call.incoming;
-    const localUntil = clock.now() + localWaitShare * call.route.targetLatencyMs;
+    const localShare = call.hasLargeBody ? localWaitShareOfLargeBodies : localWaitShare;
+    const localUntil = clock.now() + localShare * call.route.targetLatencyMs;
     const waiter = queue.add(waitingCall);
     const wake = () => waiter.wake();
     cancellation.addListener(wake);
@@ -217,8 +223,8 @@
 }
 
 function buildPickRequest(
-  { service, route }: AdmissionRequest,
+  { service, route, hasLargeBody = false }: AdmissionRequest,
   records: readonly AttemptRecord[],
 ): PickRequest {
-  return { service, route, tried: records.map(({ endpoint }) => endpoint) };
+  return { service, route, hasLargeBody, tried: records.map(({ endpoint }) => endpoint) };
 }
