--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -25,9 +25,6 @@
  */
 const localWaitShare = 0.15;
 
-/** The same for calls with large bodies, whose bytes cost most. */
-const localWaitShareOfLargeBodies = 0.4;
-
 /** Time between two looks for an endpoint, relative to the estimated latency, and its bounds. */
 const pollShare = 0.1;
 const minPollIntervalMs = 10;
@@ -53,8 +50,6 @@
   readonly route: Route;
   readonly workspace?: Workspace | undefined;
   readonly isUrgent: boolean;
-  /** Whether the body is so large that the call should leave its failure domain last. */
-  readonly hasLargeBody?: boolean;
   /** Monotonic time at which the target latency ends, in milliseconds. */
   readonly targetDeadlineAt: number;
   readonly incoming: { readonly cancellation: Cancellation };
@@ -130,8 +125,7 @@
   ): Promise<Admission> {
     const { clock } = this.#options;
     const { cancellation } = call.incoming;
-    const localShare = call.hasLargeBody ? localWaitShareOfLargeBodies : localWaitShare;
-    const localUntil = clock.now() + localShare * call.route.targetLatencyMs;
+    const localUntil = clock.now() + localWaitShare * call.route.targetLatencyMs;
     const waiter = queue.add(waitingCall);
     const wake = () => waiter.wake();
     cancellation.addListener(wake);
@@ -223,8 +217,8 @@
 }
 
 function buildPickRequest(
-  { service, route, hasLargeBody = false }: AdmissionRequest,
+  { service, route }: AdmissionRequest,
   records: readonly AttemptRecord[],
 ): PickRequest {
-  return { service, route, hasLargeBody, tried: records.map(({ endpoint }) => endpoint) };
+  return { service, route, tried: records.map(({ endpoint }) => endpoint) };
 }
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -30,8 +30,6 @@
   /** Whether the service also receives calls of a more urgent priority. */
   readonly isDeferrable: boolean;
   readonly body: RequestBody;
-  /** Whether the body is so large that the call should leave its failure domain last. */
-  readonly hasLargeBody: boolean;
   /** The instance that has handed the call over; undefined for a call of a caller. */
   readonly handedOverBy: string | undefined;
   /** Whether the caller seems to have come back after a refusal. */
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -58,9 +58,6 @@
 /** `Retry-After` of a refusal to another instance whose configuration is newer. */
 const olderConfigRetryAfterMs = 100;
 
-/** Size above which the bytes of a body cost more between failure domains than some time is worth. */
-const largeBodyBytes = 16 * 1024;
-
 /** Margin between the deadline of a call and the end of its caller's timeout. */
 const deadlineMarginMs = 10;
 
@@ -245,7 +242,6 @@
       className: getCallClass({ route, workspace }),
       isUrgent: routes.isUrgent({ priority }, service),
       isDeferrable: routes.isDeferrable({ priority }, service),
-      hasLargeBody: getKnownBytes(body.value) > largeBodyBytes,
       body: hidesCredentials ? omitTrailers(body.value, headerCodec.credentialHeaders) : body.value,
       fingerprint,
     };
@@ -368,12 +364,6 @@
   }
 }
 
-/** @returns The size of a body as far as it is known, in bytes. */
-function getKnownBytes(body: RequestBody): number {
-  if (body.kind === 'none') return 0;
-  return body.kind === 'whole' ? body.bytes.length : (body.length ?? body.head.length);
-}
-
 /** Hashes the parts of a request that do not depend on its caller and its time. */
 function hashRequest(
   method: string,
--- a/packages/gateway/src/picker.ts
+++ b/packages/gateway/src/picker.ts
@@ -25,9 +25,6 @@
  */
 const remoteGainFactor = 0.75;
 
-/** The same for a call with a large body, whose bytes cost most between failure domains. */
-const remoteGainFactorOfLargeBodies = 0.5;
-
 /**
  * Age at which the slowdown in a load report no longer counts; its weight decreases linearly until
  * then. The speed of endpoints changes several times a second.
@@ -67,8 +64,6 @@
    * these are considered only when the local ones are slow.
    */
   readonly needsSpareCapacity?: boolean;
-  /** Whether the body is so large that the call should leave its failure domain last. */
-  readonly hasLargeBody?: boolean;
 }
 
 /** Picked endpoint with the inputs of the decision. */
@@ -123,7 +118,7 @@
     if (bestLocal && isGoodEnough(bestLocal, request)) return bestLocal;
     const bestRemote = await this.#pickFromGroup(remote, input);
     if (!bestLocal) return bestRemote ?? this.#pickWithoutProbes([...local, ...remote], input);
-    return bestRemote && isWorthDistance(bestRemote, bestLocal, request) ? bestRemote : bestLocal;
+    return bestRemote && isWorthDistance(bestRemote, bestLocal) ? bestRemote : bestLocal;
   }
 
   /** Probes further local endpoints before any in other failure domains, which cost more. */
@@ -241,10 +236,10 @@
 
 function isGoodEnough(
   { endpoint, rankMs }: Pick,
-  { route, needsSpareCapacity, hasLargeBody = false }: PickRequest,
+  { route, needsSpareCapacity }: PickRequest,
 ): boolean {
   if (needsSpareCapacity && !hasSpareCapacity(endpoint)) return false;
-  return rankMs <= (hasLargeBody ? 1 : localLatencyShare) * route.targetLatencyMs;
+  return rankMs <= localLatencyShare * route.targetLatencyMs;
 }
 
 function chooseBetter(a: Pick | undefined, b: Pick | undefined): Pick | undefined {
@@ -252,13 +247,8 @@
   return b.rankMs < a.rankMs ? b : a;
 }
 
-function isWorthDistance(
-  remote: Pick,
-  local: Pick,
-  { hasLargeBody = false }: PickRequest,
-): boolean {
-  const factor = hasLargeBody ? remoteGainFactorOfLargeBodies : remoteGainFactor;
-  return remote.rankMs < factor * local.rankMs;
+function isWorthDistance(remote: Pick, local: Pick): boolean {
+  return remote.rankMs < remoteGainFactor * local.rankMs;
 }
 
 function calculatePenalty({ failureScore, shedScore, isHealthy }: Endpoint): number {
