--- a/packages/quota/src/bounds.ts
+++ b/packages/quota/src/bounds.ts
@@ -26,7 +26,7 @@
 export const attachmentTtlMs = 2500;
 
 /** Time of the rate, and maximum share of the bucket, that is kept for requests that come first. */
-const reserveMs = 250;
+const reserveMs = 60;
 const maxReserveShare = 0.5;
 
 const endpointPrefix = 'endpoint:';
