--- a/packages/fairness/src/order.ts
+++ b/packages/fairness/src/order.ts
@@ -6,4 +6,20 @@
   readonly workspace: WorkspaceId | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Whether the call can no longer be answered within its target latency. */
+  readonly isLate: boolean;
+  /** Monotonic time until which the call can wait, in milliseconds. */
+  readonly waitUntil: number;
+  /** Estimated time that the call takes on an endpoint, in milliseconds. */
+  readonly costMs: number;
+}
+
+/** The properties that no sharing between workspaces may override. */
+export type CallRank = Pick<FairCall, 'priority' | 'isLate'>;
+
+/** Orders by priority, then calls that can still meet their target first. */
+export function compareRank(a: CallRank, b: CallRank): number {
+  if (a.priority !== b.priority) return a.priority - b.priority;
+  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
+  return 0;
 }
