Share capacity between workspaces in the call path

Waiting calls ran in the order of their ends, whatever workspace they came from, and a refusal showed nothing of the queue.

CapacityQueue takes its order from FairQueue; each request sent, hedged ones too, counts as service of its workspace. A call at the end of its wait no longer overtakes others when its workspace has got much more. Status lists waiting calls by workspace; the log line of an overload has the inputs of the decision.

--- a/packages/fairness/src/queue.ts
+++ b/packages/fairness/src/queue.ts
@@ -11,6 +11,12 @@
  */
 const maxWaitingPerWorkspace = 256;
 
+/**
+ * Factor on the recent service of the next workspace, beyond which another one has got much more. One
+ * call of its own is added, since most workspaces have fewer than one in sight of an instance.
+ */
+const excessFactor = 2;
+
 /** Something that waits with a call. */
 export interface FairItem {
   readonly call: FairCall;
@@ -25,7 +31,7 @@
   readonly workAheadMs: number;
   /** Endpoint time given per millisecond; undefined while too little was measured. */
   readonly serviceRate: number | undefined;
-  /** Expected wait; undefined while the rate is. */
+  /** Expected wait; undefined while the rate is, or zero. */
   readonly expectedWaitMs: number | undefined;
   /** Time that the call can wait, in milliseconds. */
   readonly availableMs: number;
@@ -110,6 +116,20 @@
     return this.#recent.getLevel(first.workspace) <= this.#recent.getLevel(call.workspace);
   }
 
+  /**
+   * Whether the workspace of a call has got much more than that of the call which is next. A call at
+   * the end of its wait may overtake the others unless this is the case: a workspace with many
+   * waiting calls has one at its end at most times, and would otherwise get most of the capacity.
+   */
+  hasExcess({ workspace, costMs }: FairCall): boolean {
+    const first = this.findFirst()?.call;
+    if (!first || first.workspace === workspace) return false;
+    const [ownMs, firstMs] = [workspace, first.workspace].map((other) =>
+      this.#recent.convertToMs(this.#recent.getLevel(other)),
+    ) as [number, number];
+    return ownMs > excessFactor * firstMs + costMs;
+  }
+
   add(item: Item): void {
     const { call } = item;
     const { workspace, costMs } = call;
@@ -192,18 +212,19 @@
     return estimate.workAheadMs > rate.bound * estimate.availableMs ? estimate : undefined;
   }
 
-  /** Estimates the wait of a call that is not among those that wait. */
+  /** Estimates the wait of a call; a call that already waits counts among those ahead. */
   estimateWait(call: FairCall): WaitEstimate {
     const availableMs = Math.max(0, call.waitUntil - this.#clock.now());
     const workAheadMs = this.#calculateWorkAhead(call, availableMs);
-    const serviceRate = this.#rate.estimate(call.costMs)?.mean;
+    const rate = this.#rate.estimate(call.costMs)?.mean;
+    const serviceRate = rate === undefined ? undefined : Math.round(rate * 1000) / 1000;
     return {
       queued: this.#size,
       queuedOfWorkspace: this.#countWaiting(call.workspace),
-      workAheadMs,
+      workAheadMs: Math.round(workAheadMs),
       serviceRate,
-      expectedWaitMs: serviceRate === undefined ? undefined : workAheadMs / serviceRate,
-      availableMs,
+      expectedWaitMs: serviceRate ? Math.round(workAheadMs / serviceRate) : undefined,
+      availableMs: Math.round(availableMs),
     };
   }
 
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,5 +1,7 @@
+import type { WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
 import type { Cancellation } from '@dotterelpass/proxy';
 import type { Clock, ServiceId } from '@dotterelpass/values';
+import type { Workspace } from '@dotterelpass/workspaces';
 import type { AttemptRecord } from './call.js';
 import { CapacityQueue } from './capacity.js';
 import type { WaitingCall } from './capacity.js';
@@ -34,17 +36,33 @@
   readonly notBefore: number;
 }
 
-/** Result of the admission of a call; undefined when no endpoint is reachable. */
-export type Admission = Pick | NotBefore | 'overload' | undefined;
+/** No endpoint can take the call in time. */
+export interface Overload {
+  /** State of the queue when this was decided. */
+  readonly wait: WaitEstimate;
+}
+
+/**
+ * Result of the admission of a call; undefined when no endpoint is reachable, `overload` when a call
+ * that may not wait would have to.
+ */
+export type Admission = Pick | NotBefore | Overload | 'overload' | undefined;
 
 /** Whether a call was admitted. */
 export function isPick(admission: Admission): admission is Pick {
   return typeof admission === 'object' && 'endpoint' in admission;
 }
 
+/** Whether a call was refused for lack of capacity. */
+export function isOverload(admission: Admission): admission is Overload | 'overload' {
+  return admission === 'overload' || (typeof admission === 'object' && 'wait' in admission);
+}
+
 /** The parts of a call on which its admission depends. */
 export interface AdmissionRequest {
   readonly service: ServiceId;
+  /** The workspace that the call counts for; undefined when the configuration asks for no keys. */
+  readonly workspace?: Workspace | undefined;
   readonly route: Route;
   readonly isUrgent: boolean;
   /** Monotonic time at which the target latency ends, in milliseconds. */
@@ -83,6 +101,19 @@
     return this.#queues.get(service)?.size ?? 0;
   }
 
+  /** @returns The waiting calls of a service by workspace. */
+  listDemand(service: ServiceId): readonly WorkspaceDemand[] {
+    return this.#queues.get(service)?.listDemand() ?? [];
+  }
+
+  /** Records a hedged request, which needs no admission. */
+  recordHedge(call: AdmissionRequest): void {
+    this.#getOrCreateQueue(call.service).recordService({
+      workspace: call.workspace?.name,
+      costMs: this.#estimateCostMs(call),
+    });
+  }
+
   /** Lets the first waiting call of a service look for an endpoint at once. */
   notifyCapacity(service: ServiceId): void {
     this.#queues.get(service)?.wakeFirst();
@@ -105,13 +136,22 @@
     const waitingCall = this.#buildWaitingCall(call);
     if (!queue.hasPrecedence(waitingCall)) {
       const pick = await this.#pick(call, records, false);
-      if (pick && this.#canStart(call, pick, waitingCall.isLate)) return pick;
+      if (pick && this.#canStart(call, pick, waitingCall.isLate)) {
+        // Requests of the same workspace may have been sent while the endpoints were probed.
+        if (!call.workspace || !queue.hasPrecedence(waitingCall)) {
+          queue.recordService(waitingCall);
+          return pick;
+        }
+      }
       if (!pick) {
         const block = this.#findBlock(call, records);
         if (!block || block.notBefore > waitingCall.waitUntil) return block;
       }
     }
-    return mayWait ? this.#waitForCapacity(call, records, queue, waitingCall) : 'overload';
+    if (!mayWait) return 'overload';
+    const refusal = queue.findRefusal(waitingCall);
+    if (refusal) return { wait: refusal };
+    return this.#waitForCapacity(call, records, queue, waitingCall);
   }
 
   async #waitForCapacity(
@@ -133,14 +173,22 @@
         const isTimeUp = now >= waitingCall.waitUntil;
         if (cancellation.aborted) return undefined;
         if (!isTimeUp && !queue.isFirst(waiter)) continue;
+        if (isTimeUp && queue.hasExcess(waitingCall)) {
+          return { wait: queue.estimateWait(waitingCall) };
+        }
         const pick = await this.#pick(call, records, isTimeUp || now >= localUntil);
         if (!pick) {
           const block = this.#findBlock(call, records);
           if (!block || isTimeUp || block.notBefore > waitingCall.waitUntil) return block;
           continue;
         }
-        if (this.#canStart(call, pick, isTimeUp || waitingCall.isLate)) return pick;
-        if (isTimeUp) return this.#mayQueueAtEndpoint(call, pick) ? pick : 'overload';
+        const canStart = this.#canStart(call, pick, isTimeUp || waitingCall.isLate);
+        if (canStart || (isTimeUp && this.#mayQueueAtEndpoint(call, pick))) {
+          // Recorded before the call leaves the queue, so that the next one is chosen accordingly.
+          queue.recordService(waitingCall);
+          return pick;
+        }
+        if (isTimeUp) return { wait: queue.estimateWait(waitingCall) };
       }
     } finally {
       cancellation.removeListener(wake);
@@ -188,14 +236,21 @@
     return this.#options.clock.now() + expectedMs <= call.targetDeadlineAt;
   }
 
-  #buildWaitingCall({ route, service, targetDeadlineAt }: AdmissionRequest): WaitingCall {
-    const { clock, latency } = this.#options;
-    const now = clock.now();
-    const busyMs = latency.estimateMs(route) * latency.getSlowdown(service) * busyFactor;
+  #estimateCostMs({ route, service }: AdmissionRequest): number {
+    const { latency } = this.#options;
+    return latency.estimateMs(route) * latency.getSlowdown(service);
+  }
+
+  #buildWaitingCall(call: AdmissionRequest): WaitingCall {
+    const { route, workspace, targetDeadlineAt } = call;
+    const now = this.#options.clock.now();
+    const costMs = this.#estimateCostMs(call);
+    const busyMs = costMs * busyFactor;
     const latestStartAt = targetDeadlineAt - latestStartFactor * busyMs;
     const isLate = latestStartAt <= now;
     const waitUntil = isLate ? now + lateWaitShare * route.targetLatencyMs : latestStartAt;
-    return { priority: route.priority, isLate, waitUntil };
+    const priority = workspace?.priority ?? route.priority;
+    return { workspace: workspace?.name, priority, isLate, waitUntil, costMs };
   }
 
   #calculatePollIntervalMs({ route }: AdmissionRequest): number {
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { WaitEstimate } from '@dotterelpass/fairness';
 import type { RequestBody, IncomingCall } from '@dotterelpass/proxy';
 import type {
   ClassName,
@@ -122,6 +123,8 @@
       readonly timedOutIn?: TimeoutPhase;
       /** Present when an attempt was made. */
       readonly retryBlock?: RetryBlock;
+      /** Present when the call was refused for lack of capacity: what that was decided on. */
+      readonly wait?: WaitEstimate;
     };
 
 /** Result of a call that an endpoint answered. */
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -1,14 +1,9 @@
+import { FairQueue } from '@dotterelpass/fairness';
+import type { FairCall, WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
 import type { Clock } from '@dotterelpass/values';
 
 /** A call that waits for an endpoint with spare capacity. */
-export interface WaitingCall {
-  /** Rank of the call's route; 0 is the most urgent. */
-  readonly priority: number;
-  /** Whether the call can no longer be answered within its target latency. */
-  readonly isLate: boolean;
-  /** Monotonic time until which the call can wait, in milliseconds. */
-  readonly waitUntil: number;
-}
+export type WaitingCall = FairCall;
 
 /** Position of a call in a queue. */
 export class Waiter {
@@ -46,47 +41,75 @@
 export class CapacityQueue {
   readonly #clock: Clock;
 
-  /** In the order in which the calls are sent. */
-  readonly #waiters: Waiter[] = [];
+  /** Decides in which order the calls are sent. */
+  readonly #order: FairQueue<Waiter>;
 
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#order = new FairQueue(clock);
   }
 
   get size(): number {
-    return this.#waiters.length;
+    return this.#order.size;
   }
 
-  /** Whether a call that is already waiting is sent before this one. */
+  /** See {@link FairQueue.hasPrecedence}. */
   hasPrecedence(call: WaitingCall): boolean {
-    const [first] = this.#waiters;
-    return first !== undefined && comparePrecedence(first.call, call) <= 0;
+    return this.#order.hasPrecedence(call);
+  }
+
+  /** See {@link FairQueue.hasExcess}. */
+  hasExcess(call: WaitingCall): boolean {
+    return this.#order.hasExcess(call);
+  }
+
+  /** See {@link FairQueue.findRefusal}. */
+  findRefusal(call: WaitingCall): WaitEstimate | undefined {
+    return this.#order.findRefusal(call);
+  }
+
+  /** See {@link FairQueue.estimateWait}. */
+  estimateWait(call: WaitingCall): WaitEstimate {
+    return this.#order.estimateWait(call);
+  }
+
+  /** See {@link FairQueue.listDemand}. */
+  listDemand(): readonly WorkspaceDemand[] {
+    return this.#order.listDemand();
   }
 
   /** Whether this call is the next one to be sent. */
   isFirst(waiter: Waiter): boolean {
-    return this.#waiters[0] === waiter;
+    return this.#order.findFirst() === waiter;
   }
 
   /** @returns The position of the added call; it must be removed by `remove`. */
   add(call: WaitingCall): Waiter {
     const waiter = new Waiter(call);
-    const index = this.#waiters.findIndex((other) => comparePrecedence(call, other.call) < 0);
-    this.#waiters.splice(index < 0 ? this.#waiters.length : index, 0, waiter);
+    this.#order.add(waiter);
     return waiter;
   }
 
   /** Removes a call, and lets the call that is now the first look for an endpoint at once. */
   remove(waiter: Waiter): void {
-    const index = this.#waiters.indexOf(waiter);
-    if (index < 0) return;
-    this.#waiters.splice(index, 1);
-    if (index === 0) this.wakeFirst();
+    const isFirst = this.isFirst(waiter);
+    this.#order.remove(waiter);
+    if (isFirst) this.wakeFirst();
+  }
+
+  /**
+   * Records a request that is sent for a call, and wakes the call that is now the first if it was
+   * not the first before: it sleeps until the end of its wait.
+   */
+  recordService(call: Pick<WaitingCall, 'workspace' | 'costMs'>): void {
+    const first = this.#order.findFirst();
+    this.#order.recordService(call);
+    if (this.#order.findFirst() !== first) this.wakeFirst();
   }
 
   /** Lets the first call look for an endpoint at once because one may have spare capacity. */
   wakeFirst(): void {
-    this.#waiters[0]?.wake();
+    this.#order.findFirst()?.wake();
   }
 
   /**
@@ -100,10 +123,3 @@
     await waiter.sleep(this.isFirst(waiter) ? Math.min(pollIntervalMs, remainingMs) : remainingMs);
   }
 }
-
-/** Orders by priority; calls that can still meet their target first; then by the end of the wait. */
-function comparePrecedence(a: WaitingCall, b: WaitingCall): number {
-  if (a.priority !== b.priority) return a.priority - b.priority;
-  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
-  return a.waitUntil - b.waitUntil;
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -282,6 +282,7 @@
       services: services.map((service) => ({
         service,
         callsWaiting: this.#admission.countWaiting(service),
+        waitingByWorkspace: this.#admission.listDemand(service),
         retryRoom: this.#budget.allowsExtraAttempt([service]),
         endpoints: this.#registry.listReady(service).map((endpoint) => endpoint.readStatus()),
       })),
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -231,8 +231,8 @@
   async #respondWithResult(call: Call, result: CallResult): Promise<CallOutcome> {
     const { retryBlock } = result;
     if (result.kind === 'failed') {
-      const { timedOutIn } = result;
-      return { ...this.#respondWithFailure(call, result), timedOutIn, retryBlock };
+      const { timedOutIn, wait } = result;
+      return { ...this.#respondWithFailure(call, result), timedOutIn, retryBlock, wait };
     }
     const isLeftUnread = result.bufferedBody === undefined && !call.incoming.turn.hasCome;
     if (isLeftUnread) return this.#respondWithResult(call, await readAfterTurn(call, result));
--- a/packages/gateway/src/recorder.ts
+++ b/packages/gateway/src/recorder.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { WaitEstimate } from '@dotterelpass/fairness';
 import type { IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
 import type { Call, CallTrace, RetryBlock, TimeLimit, TimeoutPhase } from './call.js';
@@ -11,6 +12,8 @@
 export interface FailureCause {
   readonly timedOutIn?: TimeoutPhase | undefined;
   readonly retryBlock?: RetryBlock | undefined;
+  /** Inputs of a refusal for lack of capacity. */
+  readonly wait?: WaitEstimate | undefined;
 }
 
 /** Outcome of a call, for the log and the metrics. */
@@ -77,7 +80,7 @@
     id: Call['id'],
     route: Route,
     timing: LoggedTiming,
-    { status, verdict, reason, timedOutIn, retryBlock }: CallOutcome,
+    { status, verdict, reason, timedOutIn, retryBlock, wait }: CallOutcome,
     ms: number,
     { attempts, handovers }: CallTrace,
   ): void {
@@ -100,6 +103,7 @@
       reason,
       ...(timedOutIn === undefined ? {} : { timedOutIn }),
       ...(retryBlock === undefined ? {} : { retryBlock }),
+      ...(wait === undefined ? {} : { wait }),
       ms: Math.round(ms),
       ...(callsAhead > 0 ? { callsAhead } : {}),
       attempts,
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,7 +1,7 @@
 import { copyEndToEndHeaders, isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
 import type { Verdict } from '@dotterelpass/values';
-import { isPick } from './admission.js';
+import { isOverload, isPick } from './admission.js';
 import type { Admission, AdmissionOptions, CallAdmission } from './admission.js';
 import type { BackpressureRecorder } from './backpressure.js';
 import { createCutFailure, readResponseBody } from './body.js';
@@ -155,6 +155,7 @@
       return first;
     if (!secondPick.endpoint.backpressure.takeRequest()) return first;
     this.#options.retries.recordAttempt(call, 'hedge');
+    this.#options.admission.recordHedge(call);
     const secondCancellation = incoming.cancellation.makeChild();
     const second = this.#sendAttempt(call, secondPick, records, secondCancellation);
     return selectResult(
@@ -312,13 +313,13 @@
 }
 
 function getBlockReason(admission: Exclude<Admission, Pick>): RetryBlock {
-  if (typeof admission === 'object') return 'backpressure';
-  return admission ?? 'no-endpoint';
+  if (isOverload(admission)) return 'overload';
+  return admission ? 'backpressure' : 'no-endpoint';
 }
 
 function createUnsentFailure({ service }: Call, pick: Exclude<Admission, Pick>): CallFailure {
   const verdict = 'not-run';
-  if (typeof pick === 'object') {
+  if (pick && !isOverload(pick)) {
     return {
       kind: 'failed',
       verdict,
@@ -326,12 +327,13 @@
       message: `all endpoints of service ${service} ask callers to wait`,
     };
   }
-  return pick === 'overload'
+  return pick
     ? {
         kind: 'failed',
         verdict,
         reason: 'overload',
         message: `service ${service} is overloaded: the call would miss its target latency`,
+        ...(pick === 'overload' ? {} : { wait: pick.wait }),
       }
     : {
         kind: 'failed',
