--- a/packages/fairness/src/queue.ts
+++ b/packages/fairness/src/queue.ts
@@ -2,8 +2,8 @@
 import { compareRank } from './order.js';
 import type { CallRank, FairCall } from './order.js';
 import { ServiceRate } from './rate.js';
-import { RecentService } from './recent.js';
 import { addSorted, removeSorted } from './sorted.js';
+import { VirtualTime } from './virtual.js';
 
 /**
  * Calls of one workspace that may wait for one service. Until the rate of service is known, this
@@ -11,12 +11,6 @@
  */
 const maxWaitingPerWorkspace = 256;
 
-/**
- * Factor on the recent service of the next workspace, beyond which another one has got much more. One
- * call of its own is added, since most workspaces have fewer than one in sight of an instance.
- */
-const excessFactor = 2;
-
 /** Something that waits with a call. */
 export interface FairItem {
   readonly call: FairCall;
@@ -37,12 +31,15 @@
   readonly availableMs: number;
 }
 
+/** The properties of a call that was sent on which the order of others depends. */
+export type ServedCall = Pick<FairCall, 'workspace' | 'priority' | 'costMs'>;
+
 /** Waiting calls of a workspace, for operators. */
 export interface WorkspaceDemand {
   readonly workspace: WorkspaceId | undefined;
   readonly calls: number;
-  /** Endpoint time that it has got lately, in milliseconds. */
-  readonly recentServiceMs: number;
+  /** Endpoint time that it has got ahead of the workspace that is next, in milliseconds. */
+  readonly leadMs: number;
 }
 
 /** Waiting calls of one workspace and rank. */
@@ -50,34 +47,33 @@
   readonly workspace: WorkspaceId | undefined;
   /** In the order of the ends of their waits. */
   readonly items: Item[];
-  /** Recent service of the workspace, as of `RecentService.getLevel`. */
-  level: number;
+  /** Virtual start of its next call. */
+  start: number;
   /** Orders workspaces of equal service by the time since which they wait. */
   readonly sequence: number;
-  workMs: number;
 }
 
 /** Waiting calls of one rank. */
 interface Band<Item> extends CallRank {
   readonly flows: Map<WorkspaceId | undefined, Flow<Item>>;
-  /** The flows in the order of their service. */
+  /** The flows in the order of their virtual starts. */
   readonly order: Flow<Item>[];
-  workMs: number;
 }
 
 /**
  * The order in which the waiting calls of one service get capacity: by priority, then calls that can
- * be in time, then the workspace with the least recent service, then the end of the wait. The
+ * be in time, then the workspace that has got the least, then the end of the wait. The
  * deadline of a call, which callers choose, counts only within its workspace. Capacity that the
  * others do not ask for goes to whoever waits.
  *
  * An operation takes a time that is logarithmic in the number of waiting workspaces and of waiting
- * calls of the workspace, but for a refusal, which looks at each waiting workspace.
+ * calls of the workspace. Only the decision on a refusal looks at all calls ahead.
  */
 export class FairQueue<Item extends FairItem> {
   readonly #clock: Clock;
 
-  readonly #recent: RecentService;
+  /** By priority: what a workspace gets for urgent calls says nothing about its share of others. */
+  readonly #times = new Map<number, VirtualTime>();
 
   readonly #rate: ServiceRate;
 
@@ -93,7 +89,6 @@
 
   constructor(clock: Clock) {
     this.#clock = clock;
-    this.#recent = new RecentService(clock);
     this.#rate = new ServiceRate(clock);
   }
 
@@ -113,39 +108,34 @@
     const byRank = compareRank(first, call);
     if (byRank !== 0) return byRank < 0;
     if (first.workspace === call.workspace) return first.waitUntil <= call.waitUntil;
-    return this.#recent.getLevel(first.workspace) <= this.#recent.getLevel(call.workspace);
+    return this.#getStart(first) <= this.#getStart(call);
   }
 
   /**
-   * Whether the workspace of a call has got much more than that of the call which is next. A call at
-   * the end of its wait may overtake the others unless this is the case: a workspace with many
-   * waiting calls has one at its end at most times, and would otherwise get most of the capacity.
+   * Whether the workspace of a call is ahead of the one that is next, by more than a call. A call at
+   * the end of its wait may overtake others unless this is the case: a workspace with many waiting
+   * calls has one at its end at most times, and would otherwise get most of the capacity.
    */
-  hasExcess({ workspace, costMs }: FairCall): boolean {
+  hasExcess(call: FairCall): boolean {
     const first = this.findFirst()?.call;
-    if (!first || first.workspace === workspace) return false;
-    const [ownMs, firstMs] = [workspace, first.workspace].map((other) =>
-      this.#recent.convertToMs(this.#recent.getLevel(other)),
-    ) as [number, number];
-    return ownMs > excessFactor * firstMs + costMs;
+    if (!first || first.priority !== call.priority) return false;
+    return this.#getStart(call) > this.#getStart(first) + call.costMs;
   }
 
   add(item: Item): void {
     const { call } = item;
-    const { workspace, costMs } = call;
+    const { workspace } = call;
     if (this.#size === 0) this.#rate.start();
     const band = this.#getOrCreateBand(call);
     let flow = band.flows.get(workspace);
     if (!flow) {
       this.#sequence += 1;
-      const level = this.#recent.getLevel(workspace);
-      flow = { workspace, items: [], level, sequence: this.#sequence, workMs: 0 };
+      const start = this.#getStart(call);
+      flow = { workspace, items: [], start, sequence: this.#sequence };
       band.flows.set(workspace, flow);
       addSorted(band.order, flow, compareFlows);
     }
     addSorted(flow.items, item, compareWaits);
-    flow.workMs += costMs;
-    band.workMs += costMs;
     this.#size += 1;
     this.#counts.set(workspace, this.#countWaiting(workspace) + 1);
   }
@@ -153,12 +143,10 @@
   /** @returns Whether the item was waiting. */
   remove(item: Item): boolean {
     const { call } = item;
-    const { workspace, costMs } = call;
+    const { workspace } = call;
     const band = this.#bands.find((other) => compareRank(other, call) === 0);
     const flow = band?.flows.get(workspace);
     if (!band || !flow || !removeSorted(flow.items, item, compareWaits)) return false;
-    flow.workMs -= costMs;
-    band.workMs -= costMs;
     if (flow.items.length === 0) {
       band.flows.delete(workspace);
       removeSorted(band.order, flow, compareFlows);
@@ -176,16 +164,19 @@
    * Records a request that was sent for a call, whether the call has waited or not. Retries and
    * hedged requests count like any other.
    */
-  recordService({ workspace, costMs }: Pick<FairCall, 'workspace' | 'costMs'>): void {
+  recordService(call: ServedCall): void {
+    const { workspace, priority, costMs } = call;
     this.#rate.record(costMs);
-    this.#recent.record(workspace, costMs);
-    const level = this.#recent.getLevel(workspace);
-    this.#bands.forEach(({ flows, order }) => {
-      const flow = flows.get(workspace);
-      if (!flow) return;
-      removeSorted(order, flow, compareFlows);
-      flow.level = level;
-      addSorted(order, flow, compareFlows);
+    const start = this.#getStart(call);
+    const time = this.#times.get(priority) ?? new VirtualTime();
+    this.#times.set(priority, time);
+    time.record(workspace, start, costMs);
+    this.#bands.forEach((band) => {
+      const flow = band.flows.get(workspace);
+      if (!flow || band.priority !== priority) return;
+      removeSorted(band.order, flow, compareFlows);
+      flow.start = start + costMs;
+      addSorted(band.order, flow, compareFlows);
     });
   }
 
@@ -194,10 +185,10 @@
    * waiting as can be served until the end of its wait. This answers a workspace that sends several
    * times its usual for seconds: without it, calls beyond its share wait for their whole deadline.
    *
-   * With those that wait, the workspace uses all service that it can get by then, so a refusal costs
-   * it nothing. A call is never refused when none of its workspace waits, nor before the rate of
-   * service is known, and an upper bound of that rate is used. Calls without a workspace are refused
-   * only beside those of workspaces.
+   * The calls ahead leave less than the time of one call unused by then, also when some of them have
+   * left at the ends of their own waits, so a refusal costs no service. A call is never refused when
+   * none of its workspace waits, nor before the rate of service is known, and an upper bound of that
+   * rate is used. Calls without a workspace are refused only beside those of workspaces.
    *
    * @returns The inputs of a refusal; undefined when the call may wait.
    */
@@ -208,14 +199,17 @@
     if (queuedOfWorkspace >= maxWaitingPerWorkspace) return this.estimateWait(call);
     const rate = this.#rate.estimate(call.costMs);
     if (!rate) return undefined;
-    const estimate = this.estimateWait(call);
-    return estimate.workAheadMs > rate.bound * estimate.availableMs ? estimate : undefined;
+    const now = this.#clock.now();
+    const ahead = this.#listAhead(call);
+    return calculateRoomMs(call, ahead, rate.bound, now) < call.costMs
+      ? this.estimateWait(call)
+      : undefined;
   }
 
   /** Estimates the wait of a call; a call that already waits counts among those ahead. */
   estimateWait(call: FairCall): WaitEstimate {
     const availableMs = Math.max(0, call.waitUntil - this.#clock.now());
-    const workAheadMs = this.#calculateWorkAhead(call, availableMs);
+    const workAheadMs = sumCosts(this.#listAhead(call));
     const rate = this.#rate.estimate(call.costMs)?.mean;
     const serviceRate = rate === undefined ? undefined : Math.round(rate * 1000) / 1000;
     return {
@@ -230,43 +224,55 @@
 
   /** @returns The waiting calls by workspace. */
   listDemand(): readonly WorkspaceDemand[] {
+    const times = [...this.#times.values()];
     return [...this.#counts].map(([workspace, calls]) => ({
       workspace,
       calls,
-      recentServiceMs: this.#recent.convertToMs(this.#recent.getLevel(workspace)),
+      leadMs: Math.round(Math.max(0, ...times.map((time) => time.getLeadMs(workspace)))),
     }));
   }
 
   /**
-   * Calculates the least work that is sent before a call: all of a better rank, that of its own
-   * workspace which cannot wait longer, and that of others until they have got as much as its own.
+   * Lists the calls that are sent before another one, if none comes after it: all of a better rank,
+   * those of its own workspace whose wait ends first, and those of other workspaces until they have
+   * got as much.
    */
-  #calculateWorkAhead(call: FairCall, availableMs: number): number {
-    let aheadMs = 0;
+  #listAhead(call: FairCall): FairCall[] {
+    const ahead: FairCall[] = [];
     for (const band of this.#bands) {
       const byRank = compareRank(band, call);
       if (byRank > 0) break;
-      aheadMs += byRank < 0 ? band.workMs : this.#calculateWorkInBand(band, call, availableMs);
+      if (byRank < 0) band.order.forEach(({ items }) => ahead.push(...items.map(getCall)));
+      else ahead.push(...this.#listAheadInBand(band, call));
     }
-    return aheadMs;
+    return ahead;
   }
 
-  #calculateWorkInBand(band: Band<Item>, call: FairCall, availableMs: number): number {
+  #listAheadInBand(band: Band<Item>, call: FairCall): FairCall[] {
     const { workspace, waitUntil } = call;
-    const ownMs = (band.flows.get(workspace)?.items ?? [])
-      .filter((item) => item.call.waitUntil <= waitUntil)
-      .reduce((sum, item) => sum + item.call.costMs, 0);
-    // The difference in past service shrinks while the call waits.
-    const retention = this.#recent.calculateRetention(availableMs);
-    const ownLevelMs = this.#recent.convertToMs(this.#recent.getLevel(workspace));
-    const othersMs = band.order
-      .filter((flow) => flow.workspace !== workspace)
-      .map(({ level, workMs }) => {
-        const leadMs = retention * (ownLevelMs - this.#recent.convertToMs(level));
-        return Math.min(workMs, Math.max(0, leadMs + ownMs));
-      })
-      .reduce((sum, ms) => sum + ms, 0);
-    return ownMs + othersMs;
+    const ahead = (band.flows.get(workspace)?.items ?? [])
+      .map(getCall)
+      .filter((other) => other.waitUntil <= waitUntil);
+    const lastStart = this.#getStart(call) + sumCosts(ahead);
+    band.order.forEach((flow) => {
+      if (flow.workspace === workspace) return;
+      let dueMs = lastStart - flow.start;
+      for (const { call: other } of flow.items) {
+        if (dueMs < other.costMs) return;
+        dueMs -= other.costMs;
+        ahead.push(other);
+      }
+    });
+    return ahead;
+  }
+
+  /** @returns The virtual start of the next call of a workspace, which it keeps while it waits. */
+  #getStart({ workspace, priority }: Pick<FairCall, 'workspace' | 'priority'>): number {
+    const starts = this.#bands
+      .filter((band) => band.priority === priority)
+      .map(({ flows }) => flows.get(workspace)?.start ?? Infinity);
+    const start = Math.min(...starts);
+    return start < Infinity ? start : (this.#times.get(priority)?.getStart(workspace) ?? 0);
   }
 
   #countWaiting(workspace: WorkspaceId | undefined): number {
@@ -276,17 +282,47 @@
   #getOrCreateBand({ priority, isLate }: CallRank): Band<Item> {
     const existing = this.#bands.find((band) => compareRank(band, { priority, isLate }) === 0);
     if (existing) return existing;
-    const band = { priority, isLate, flows: new Map(), order: [], workMs: 0 };
+    const band = { priority, isLate, flows: new Map(), order: [] };
     addSorted<Band<Item>>(this.#bands, band, compareRank);
     return band;
   }
 }
 
 function compareFlows(a: Flow<unknown>, b: Flow<unknown>): number {
-  if (a.level !== b.level) return a.level < b.level ? -1 : 1;
+  if (a.start !== b.start) return a.start - b.start;
   return a.sequence - b.sequence;
 }
 
 function compareWaits(a: FairItem, b: FairItem): number {
   return a.call.waitUntil - b.call.waitUntil;
 }
+
+/**
+ * Calculates the endpoint time that calls ahead of another one leave to it. After each end of a wait,
+ * only the calls with later ends still take any.
+ *
+ * @param rate - Endpoint time given per millisecond.
+ */
+function calculateRoomMs(
+  { waitUntil }: FairCall,
+  ahead: readonly FairCall[],
+  rate: number,
+  now: number,
+): number {
+  const byEnd = [...ahead].sort((a, b) => b.waitUntil - a.waitUntil);
+  let laterMs = 0;
+  let roomMs = 0;
+  byEnd.forEach((call) => {
+    roomMs = Math.max(roomMs, rate * (waitUntil - call.waitUntil) - laterMs);
+    laterMs += call.costMs;
+  });
+  return Math.max(roomMs, rate * (waitUntil - now) - laterMs);
+}
+
+function getCall({ call }: FairItem): FairCall {
+  return call;
+}
+
+function sumCosts(calls: readonly FairCall[]): number {
+  return calls.reduce((sum, { costMs }) => sum + costMs, 0);
+}
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -110,6 +110,7 @@
   recordHedge(call: AdmissionRequest): void {
     this.#getOrCreateQueue(call.service).recordService({
       workspace: call.workspace?.name,
+      priority: getPriority(call),
       costMs: this.#estimateCostMs(call),
     });
   }
@@ -249,7 +250,7 @@
     const latestStartAt = targetDeadlineAt - latestStartFactor * busyMs;
     const isLate = latestStartAt <= now;
     const waitUntil = isLate ? now + lateWaitShare * route.targetLatencyMs : latestStartAt;
-    const priority = workspace?.priority ?? route.priority;
+    const priority = getPriority(call);
     return { workspace: workspace?.name, priority, isLate, waitUntil, costMs };
   }
 
@@ -273,3 +274,8 @@
 ): PickRequest {
   return { service, route, tried: records.map(({ endpoint }) => endpoint) };
 }
+
+/** The priority of a workspace takes precedence over that of the route. */
+function getPriority({ workspace, route }: AdmissionRequest): number {
+  return workspace?.priority ?? route.priority;
+}
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -1,5 +1,5 @@
 import { FairQueue } from '@dotterelpass/fairness';
-import type { FairCall, WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
+import type { FairCall, ServedCall, WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
 import type { Clock } from '@dotterelpass/values';
 
 /** A call that waits for an endpoint with spare capacity. */
@@ -101,7 +101,7 @@
    * Records a request that is sent for a call, and wakes the call that is now the first if it was
    * not the first before: it sleeps until the end of its wait.
    */
-  recordService(call: Pick<WaitingCall, 'workspace' | 'costMs'>): void {
+  recordService(call: ServedCall): void {
     const first = this.#order.findFirst();
     this.#order.recordService(call);
     if (this.#order.findFirst() !== first) this.wakeFirst();
