--- a/packages/gateway/test/admission.test.ts
+++ b/packages/gateway/test/admission.test.ts
@@ -1,8 +1,14 @@
 import { Cancellation } from '@dotterelpass/proxy';
 import { makeRandom, systemClock } from '@dotterelpass/values';
-import type { EndpointId, FailureDomain, InstanceId, ServiceId } from '@dotterelpass/values';
+import type {
+  EndpointId,
+  FailureDomain,
+  InstanceId,
+  ServiceId,
+  WorkspaceId,
+} from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
-import { CallAdmission, isPick } from '../src/admission.js';
+import { CallAdmission, isOverload, isPick } from '../src/admission.js';
 import type { Admission, AdmissionRequest } from '../src/admission.js';
 import type { Route, RouteName } from '../src/catalog.js';
 import { Endpoint } from '../src/endpoint.js';
@@ -367,4 +373,127 @@
     );
     expect(typeof admitted === 'object').toBe(isHeldBack);
   });
+
+  describe('with workspaces', () => {
+    const makeWorkspace = (name: string, priority?: number) => ({
+      name: name as WorkspaceId,
+      priority,
+      ratePerSecond: 0,
+      burst: 0,
+    });
+    const makeCall = (name: string, priority?: number) => ({
+      service,
+      route: report.route,
+      workspace: makeWorkspace(name, priority),
+      isUrgent: false,
+      targetDeadlineAt: clock.now() + 4000,
+      incoming: { cancellation: new Cancellation() },
+    });
+
+    /** An endpoint with one slot, and an admission that knows only this one. */
+    const makeAdmission = async () => {
+      const simulation = new Simulation(1, 1);
+      const pick = await simulation.admitAtOnce();
+      if (!isPick(pick)) throw new RangeError('the simulation has an endpoint');
+      const admission = new CallAdmission({
+        clock,
+        latency: new LatencyEstimator(),
+        picker: { pick: async () => pick } as never,
+      });
+      const setRunning = (running: number) => {
+        pick.endpoint.recordReport({ running, waiting: 0, slots: 1, slowdown: 1 });
+      };
+      return { admission, setRunning, close: () => simulation.close() };
+    };
+
+    /** Admits calls in turn while the only slot is busy, and frees it for one call at a time. */
+    const findOrder = async (calls: readonly ReturnType<typeof makeCall>[]): Promise<string[]> => {
+      const { admission, setRunning, close } = await makeAdmission();
+      setRunning(0);
+      await admission.admitCall(makeCall('hot'), []);
+      setRunning(1);
+      const order: string[] = [];
+      calls.forEach((call) => {
+        void admission.admitCall(call, []).then((admitted) => {
+          if (isPick(admitted)) order.push(call.workspace.name);
+          setRunning(1);
+        });
+      });
+      await vi.advanceTimersByTimeAsync(5);
+      for (let count = 0; count < calls.length; count++) {
+        setRunning(0);
+        admission.notifyCapacity(service);
+        await vi.advanceTimersByTimeAsync(60);
+      }
+      close();
+      return order;
+    };
+
+    /** Guards against a workspace whose many calls go before those of the others. */
+    it.each([
+      { name: 'by turns', calls: ['hot', 'hot', 'hot', 'b', 'c'], order: 'b c hot hot hot' },
+      { name: 'in the order of arrival', calls: ['b', 'c', 'd'], order: 'b c d' },
+    ])('sends waiting calls $name', async ({ calls, order }) => {
+      expect((await findOrder(calls.map((name) => makeCall(name)))).join(' ')).toBe(order);
+    });
+
+    /** Guards against a priority of the route that counts in place of the workspace's. */
+    it('puts the priority of a workspace before that of the route', async () => {
+      expect(await findOrder([makeCall('b'), makeCall('c', 0)])).toEqual(['c', 'b']);
+    });
+
+    /** Guards against a new call that takes the last slot ahead of a workspace that has got less. */
+    it('lets no new call overtake a waiting one of a workspace that has got less', async () => {
+      const { admission, setRunning, close } = await makeAdmission();
+      setRunning(0);
+      expect(isPick(await admission.admitCall(makeCall('hot'), []))).toBe(true);
+      setRunning(1);
+      const waiting = admission.admitCall(makeCall('b'), []);
+      await vi.advanceTimersByTimeAsync(1);
+      expect(admission.countWaiting(service)).toBe(1);
+      setRunning(0);
+      expect(await admission.admitCall(makeCall('hot'), [], { mayWait: false })).toBe('overload');
+      await vi.advanceTimersByTimeAsync(100);
+      expect(isPick(await waiting)).toBe(true);
+      expect(isPick(await admission.admitCall(makeCall('hot'), []))).toBe(true);
+      close();
+    });
+
+    /** Guards against hedged requests that do not count as service of their workspace. */
+    it('counts hedged requests', async () => {
+      const { admission, setRunning, close } = await makeAdmission();
+      setRunning(1);
+      const waiting = ['b', 'c'].map(async (name) => admission.admitCall(makeCall(name), []));
+      await vi.advanceTimersByTimeAsync(1);
+      admission.recordHedge(makeCall('b'));
+      expect(admission.listDemand(service)).toMatchObject([
+        { workspace: 'b', calls: 1, leadMs: 1200 },
+        { workspace: 'c', calls: 1, leadMs: 0 },
+      ]);
+      setRunning(0);
+      await vi.advanceTimersByTimeAsync(100);
+      await Promise.all(waiting);
+      close();
+    });
+
+    /** Guards against refusals that do not show what they were decided on. */
+    it('refuses calls that cannot be served in time, with the state of the queue', async () => {
+      const { admission, setRunning, close } = await makeAdmission();
+      setRunning(1);
+      const results: Admission[] = [];
+      for (let count = 0; count < 60; count++) {
+        void admission.admitCall(makeCall('hot'), []).then((result) => results.push(result));
+        await vi.advanceTimersByTimeAsync(20);
+      }
+      const refused = results.filter(isOverload);
+      expect(refused.length).toBeGreaterThan(0);
+      refused.forEach((result) => {
+        expect(result).toMatchObject({ wait: { queued: expect.any(Number) as number } });
+      });
+      expect(admission.countWaiting(service)).toBeLessThan(60);
+      await vi.advanceTimersByTimeAsync(10_000);
+      expect(admission.countWaiting(service)).toBe(0);
+      close();
+    });
+  });
 });
--- /dev/null
+++ b/packages/gateway/test/capacity.test.ts
@@ -0,0 +1,64 @@
+import { ManualClock } from '@dotterelpass/values';
+import type { WorkspaceId } from '@dotterelpass/values';
+import { describe, expect, it, vi } from 'vitest';
+import { CapacityQueue } from '../src/capacity.js';
+import type { WaitingCall } from '../src/capacity.js';
+
+const makeCall = (workspace?: string, overrides: Partial<WaitingCall> = {}): WaitingCall => ({
+  workspace: workspace as WorkspaceId | undefined,
+  priority: 1,
+  isLate: false,
+  waitUntil: 1000,
+  costMs: 100,
+  ...overrides,
+});
+
+describe('CapacityQueue', () => {
+  /** Guards against calls without a workspace that are sent in another order than before. */
+  it('sends calls without a workspace by priority, in time before late, by the end of the wait', () => {
+    const queue = new CapacityQueue(new ManualClock());
+    const calls = [
+      makeCall(undefined, { isLate: true, waitUntil: 1 }),
+      makeCall(undefined, { waitUntil: 20 }),
+      makeCall(undefined, { waitUntil: 10 }),
+      makeCall(undefined, { priority: 0, waitUntil: 30 }),
+      makeCall(undefined, { waitUntil: 10 }),
+    ];
+    const waiters = calls.map((call) => queue.add(call));
+    const order: number[] = [];
+    while (queue.size > 0) {
+      const index = waiters.findIndex((waiter) => queue.isFirst(waiter));
+      order.push(index);
+      queue.recordService(calls[index] as WaitingCall);
+      queue.remove(waiters[index] as (typeof waiters)[number]);
+    }
+    expect(order).toEqual([3, 2, 4, 1, 0]);
+  });
+
+  /** Guards against a first call that sleeps to the end of its wait while an endpoint is free. */
+  it('wakes the call that becomes the first when another workspace is served', () => {
+    const queue = new CapacityQueue(new ManualClock());
+    const a = queue.add(makeCall('a'));
+    const b = queue.add(makeCall('b'));
+    const wake = vi.spyOn(b, 'wake');
+    queue.recordService(a.call);
+    expect(queue.isFirst(b)).toBe(true);
+    expect(wake).toHaveBeenCalledTimes(1);
+    queue.recordService(a.call);
+    expect(wake).toHaveBeenCalledTimes(1);
+  });
+
+  /** Guards against a queue that keeps calls after they have left. */
+  it('wakes the next call when the first leaves, and only then', () => {
+    const queue = new CapacityQueue(new ManualClock());
+    const [a, b, c] = [makeCall('a'), makeCall('b'), makeCall('c')].map((call) => queue.add(call));
+    if (!a || !b || !c) throw new RangeError('three calls wait');
+    const wake = vi.spyOn(b, 'wake');
+    queue.remove(c);
+    expect(wake).not.toHaveBeenCalled();
+    queue.remove(a);
+    queue.remove(a);
+    expect(wake).toHaveBeenCalledTimes(1);
+    expect(queue.size).toBe(1);
+  });
+});
