Put only workspaces clearly above their share behind the others

Equal turns between workspaces serve fewer calls than the earlier order when all overload the service, and take from large workspaces what their quotas give them.

--- a/packages/fairness/src/index.ts
+++ b/packages/fairness/src/index.ts
@@ -1,4 +1,4 @@
 export * from './order.js';
 export * from './queue.js';
 export * from './rate.js';
-export * from './virtual.js';
+export * from './share.js';
--- a/packages/fairness/src/order.ts
+++ b/packages/fairness/src/order.ts
@@ -2,8 +2,10 @@
 
 /** A call whose turn is decided. */
 export interface FairCall {
-  /** Undefined for calls without a workspace, which share as one. */
+  /** Undefined for calls without a workspace, which have no share. */
   readonly workspace: WorkspaceId | undefined;
+  /** The configured rate of the workspace, which is its weight; 0 or undefined without one. */
+  readonly ratePerSecond?: number | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Whether the call can no longer be answered within its target latency. */
@@ -20,6 +22,5 @@
 /** Orders by priority, then calls that can still meet their target first. */
 export function compareRank(a: CallRank, b: CallRank): number {
   if (a.priority !== b.priority) return a.priority - b.priority;
-  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
-  return 0;
+  return Number(a.isLate) - Number(b.isLate);
 }
--- a/packages/fairness/src/queue.ts
+++ b/packages/fairness/src/queue.ts
@@ -2,8 +2,9 @@
 import { compareRank } from './order.js';
 import type { CallRank, FairCall } from './order.js';
 import { ServiceRate } from './rate.js';
-import { addSorted, removeSorted } from './sorted.js';
-import { VirtualTime } from './virtual.js';
+import { WorkspaceShares } from './share.js';
+import type { ServedCall } from './share.js';
+import { addSorted } from './sorted.js';
 
 /**
  * Calls of one workspace that may wait for one service. Until the rate of service is known, this
@@ -31,64 +32,54 @@
   readonly availableMs: number;
 }
 
-/** The properties of a call that was sent on which the order of others depends. */
-export type ServedCall = Pick<FairCall, 'workspace' | 'priority' | 'costMs'>;
-
 /** Waiting calls of a workspace, for operators. */
 export interface WorkspaceDemand {
   readonly workspace: WorkspaceId | undefined;
   readonly calls: number;
-  /** Endpoint time that it has got ahead of the workspace that is next, in milliseconds. */
+  /** Recent endpoint time beyond the limit of its share, in milliseconds. */
   readonly leadMs: number;
 }
 
-/** Waiting calls of one workspace and rank. */
-interface Flow<Item> {
-  readonly workspace: WorkspaceId | undefined;
-  /** In the order of the ends of their waits. */
-  readonly items: Item[];
-  /** Virtual start of its next call. */
-  start: number;
-  /** Orders workspaces of equal service by the time since which they wait. */
-  readonly sequence: number;
-}
-
 /** Waiting calls of one rank. */
 interface Band<Item> extends CallRank {
-  readonly flows: Map<WorkspaceId | undefined, Flow<Item>>;
-  /** The flows in the order of their virtual starts. */
-  readonly order: Flow<Item>[];
+  /** The calls of each workspace, in the order of the ends of their waits. */
+  readonly flows: Map<WorkspaceId | undefined, Entry<Item>[]>;
+}
+
+interface Entry<Item> {
+  readonly item: Item;
+  /** Orders calls of equal rank and wait by their arrival. */
+  readonly sequence: number;
 }
 
 /**
  * The order in which the waiting calls of one service get capacity: by priority, then calls that can
- * be in time, then the workspace that has got the least, then the end of the wait. The
- * deadline of a call, which callers choose, counts only within its workspace. Capacity that the
- * others do not ask for goes to whoever waits.
+ * be in time, then those of workspaces that are not clearly above their share, then the end of the
+ * wait. Calls without a workspace are never above a share.
+ *
+ * Sharing by equal turns (start-time fair queueing) was weighed. It ignores which calls can wait, so
+ * it served fewer of them, and it took from large workspaces what their quotas give them.
  *
- * An operation takes a time that is logarithmic in the number of waiting workspaces and of waiting
- * calls of the workspace. Only the decision on a refusal looks at all calls ahead.
+ * Finding the first call takes a time that grows with the number of waiting workspaces, not with that
+ * of their calls. Only the decision on a refusal looks at all calls ahead.
  */
 export class FairQueue<Item extends FairItem> {
   readonly #clock: Clock;
 
-  /** By priority: what a workspace gets for urgent calls says nothing about its share of others. */
-  readonly #times = new Map<number, VirtualTime>();
+  readonly #shares: WorkspaceShares;
 
   readonly #rate: ServiceRate;
 
   /** In the order of their ranks. */
   readonly #bands: Band<Item>[] = [];
 
-  /** Number of waiting calls of each waiting workspace. */
-  readonly #counts = new Map<WorkspaceId | undefined, number>();
-
   #size = 0;
 
   #sequence = 0;
 
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#shares = new WorkspaceShares(clock);
     this.#rate = new ServiceRate(clock);
   }
 
@@ -98,64 +89,69 @@
 
   /** @returns The next call to be sent; undefined when none waits. */
   findFirst(): Item | undefined {
-    return this.#bands[0]?.order[0]?.items[0];
+    let first: Entry<Item> | undefined;
+    let isFirstAbove = false;
+    this.#bands[0]?.flows.forEach(([entry], workspace) => {
+      if (!entry) return;
+      const isAbove = this.#shares.isAbove(workspace);
+      const isBefore =
+        !first || (isAbove === isFirstAbove ? compareEntries(entry, first) < 0 : isFirstAbove);
+      if (!isBefore) return;
+      first = entry;
+      isFirstAbove = isAbove;
+    });
+    return first?.item;
   }
 
   /** Whether a call that is already waiting is sent before this one. */
   hasPrecedence(call: FairCall): boolean {
     const first = this.findFirst()?.call;
-    if (!first) return false;
-    const byRank = compareRank(first, call);
-    if (byRank !== 0) return byRank < 0;
-    if (first.workspace === call.workspace) return first.waitUntil <= call.waitUntil;
-    return this.#getStart(first) <= this.#getStart(call);
+    return first !== undefined && this.#compare(first, call) <= 0;
   }
 
   /**
-   * Whether the workspace of a call is ahead of the one that is next, by more than a call. A call at
-   * the end of its wait may overtake others unless this is the case: a workspace with many waiting
-   * calls has one at its end at most times, and would otherwise get most of the capacity.
+   * Whether a call at the end of its wait, which may overtake others, gives way to the one that is
+   * next: when its workspace is above its share and that of the other is not, because a workspace with
+   * many waiting calls has one at its end at most times, and would otherwise get most of the capacity;
+   * and when the other is more urgent but has not looked yet because it yields to other instances.
    */
   hasExcess(call: FairCall): boolean {
     const first = this.findFirst()?.call;
-    if (!first || first.priority !== call.priority) return false;
-    return this.#getStart(call) > this.#getStart(first) + call.costMs;
+    if (!first) return false;
+    if (first.priority < call.priority) return this.isAboveShare(first);
+    return first.priority === call.priority && this.isAboveShare(call) && !this.isAboveShare(first);
+  }
+
+  /** Whether the workspace of a call gets clearly more than its share. */
+  isAboveShare({ workspace }: FairCall): boolean {
+    return this.#shares.isAbove(workspace);
   }
 
   add(item: Item): void {
     const { call } = item;
-    const { workspace } = call;
     if (this.#size === 0) this.#rate.start();
-    const band = this.#getOrCreateBand(call);
-    let flow = band.flows.get(workspace);
-    if (!flow) {
-      this.#sequence += 1;
-      const start = this.#getStart(call);
-      flow = { workspace, items: [], start, sequence: this.#sequence };
-      band.flows.set(workspace, flow);
-      addSorted(band.order, flow, compareFlows);
-    }
-    addSorted(flow.items, item, compareWaits);
+    const { flows } = this.#getOrCreateBand(call);
+    const flow = flows.get(call.workspace) ?? [];
+    flows.set(call.workspace, flow);
+    this.#sequence += 1;
+    addSorted(flow, { item, sequence: this.#sequence }, compareWaits);
     this.#size += 1;
-    this.#counts.set(workspace, this.#countWaiting(workspace) + 1);
+    this.#shares.recordWait(call, 1);
   }
 
   /** @returns Whether the item was waiting. */
   remove(item: Item): boolean {
     const { call } = item;
-    const { workspace } = call;
-    const band = this.#bands.find((other) => compareRank(other, call) === 0);
-    const flow = band?.flows.get(workspace);
-    if (!band || !flow || !removeSorted(flow.items, item, compareWaits)) return false;
-    if (flow.items.length === 0) {
-      band.flows.delete(workspace);
-      removeSorted(band.order, flow, compareFlows);
-    }
-    if (band.order.length === 0) removeSorted(this.#bands, band, compareRank);
+    const bandIndex = this.#bands.findIndex((other) => compareRank(other, call) === 0);
+    const flows = this.#bands[bandIndex]?.flows;
+    const flow = flows?.get(call.workspace);
+    const index = flow?.findIndex((entry) => entry.item === item) ?? -1;
+    if (!flows || !flow || index < 0) return false;
+    flow.splice(index, 1);
+    if (flow.length === 0) flows.delete(call.workspace);
+    if (flows.size === 0) this.#bands.splice(bandIndex, 1);
     this.#size -= 1;
-    const count = this.#countWaiting(workspace) - 1;
-    if (count > 0) this.#counts.set(workspace, count);
-    else this.#counts.delete(workspace);
+    this.#shares.recordWait(call, -1);
     if (this.#size === 0) this.#rate.end();
     return true;
   }
@@ -165,19 +161,8 @@
    * hedged requests count like any other.
    */
   recordService(call: ServedCall): void {
-    const { workspace, priority, costMs } = call;
-    this.#rate.record(costMs);
-    const start = this.#getStart(call);
-    const time = this.#times.get(priority) ?? new VirtualTime();
-    this.#times.set(priority, time);
-    time.record(workspace, start, costMs);
-    this.#bands.forEach((band) => {
-      const flow = band.flows.get(workspace);
-      if (!flow || band.priority !== priority) return;
-      removeSorted(band.order, flow, compareFlows);
-      flow.start = start + costMs;
-      addSorted(band.order, flow, compareFlows);
-    });
+    this.#rate.record(call.costMs);
+    this.#shares.recordService(call);
   }
 
   /**
@@ -188,14 +173,13 @@
    * The calls ahead leave less than the time of one call unused by then, also when some of them have
    * left at the ends of their own waits, so a refusal costs no service. A call is never refused when
    * none of its workspace waits, nor before the rate of service is known, and an upper bound of that
-   * rate is used. Calls without a workspace are refused only beside those of workspaces.
+   * rate is used. Calls without a workspace are never refused here.
    *
    * @returns The inputs of a refusal; undefined when the call may wait.
    */
   findRefusal(call: FairCall): WaitEstimate | undefined {
-    const queuedOfWorkspace = this.#countWaiting(call.workspace);
+    const queuedOfWorkspace = this.#shares.countWaiting(call.workspace);
     if (queuedOfWorkspace === 0) return undefined;
-    if (call.workspace === undefined && queuedOfWorkspace === this.#size) return undefined;
     if (queuedOfWorkspace >= maxWaitingPerWorkspace) return this.estimateWait(call);
     const rate = this.#rate.estimate(call.costMs);
     if (!rate) return undefined;
@@ -214,7 +198,7 @@
     const serviceRate = rate === undefined ? undefined : Math.round(rate * 1000) / 1000;
     return {
       queued: this.#size,
-      queuedOfWorkspace: this.#countWaiting(call.workspace),
+      queuedOfWorkspace: this.#shares.countWaiting(call.workspace),
       workAheadMs: Math.round(workAheadMs),
       serviceRate,
       expectedWaitMs: serviceRate ? Math.round(workAheadMs / serviceRate) : undefined,
@@ -224,77 +208,49 @@
 
   /** @returns The waiting calls by workspace. */
   listDemand(): readonly WorkspaceDemand[] {
-    const times = [...this.#times.values()];
-    return [...this.#counts].map(([workspace, calls]) => ({
+    const waiting = this.#shares.listWaiting();
+    const others = this.#size - waiting.reduce((sum, { calls }) => sum + calls, 0);
+    const demand = waiting.map(({ workspace, calls }) => ({
       workspace,
       calls,
-      leadMs: Math.round(Math.max(0, ...times.map((time) => time.getLeadMs(workspace)))),
+      leadMs: Math.round(this.#shares.getExcessMs(workspace)),
     }));
+    return others > 0 ? [...demand, { workspace: undefined, calls: others, leadMs: 0 }] : demand;
   }
 
-  /**
-   * Lists the calls that are sent before another one, if none comes after it: all of a better rank,
-   * those of its own workspace whose wait ends first, and those of other workspaces until they have
-   * got as much.
-   */
+  /** Lists the calls that are sent before another one, if none comes after it. */
   #listAhead(call: FairCall): FairCall[] {
-    const ahead: FairCall[] = [];
-    for (const band of this.#bands) {
-      const byRank = compareRank(band, call);
-      if (byRank > 0) break;
-      if (byRank < 0) band.order.forEach(({ items }) => ahead.push(...items.map(getCall)));
-      else ahead.push(...this.#listAheadInBand(band, call));
-    }
-    return ahead;
-  }
-
-  #listAheadInBand(band: Band<Item>, call: FairCall): FairCall[] {
-    const { workspace, waitUntil } = call;
-    const ahead = (band.flows.get(workspace)?.items ?? [])
-      .map(getCall)
-      .filter((other) => other.waitUntil <= waitUntil);
-    const lastStart = this.#getStart(call) + sumCosts(ahead);
-    band.order.forEach((flow) => {
-      if (flow.workspace === workspace) return;
-      let dueMs = lastStart - flow.start;
-      for (const { call: other } of flow.items) {
-        if (dueMs < other.costMs) return;
-        dueMs -= other.costMs;
-        ahead.push(other);
-      }
-    });
-    return ahead;
-  }
-
-  /** @returns The virtual start of the next call of a workspace, which it keeps while it waits. */
-  #getStart({ workspace, priority }: Pick<FairCall, 'workspace' | 'priority'>): number {
-    const starts = this.#bands
-      .filter((band) => band.priority === priority)
-      .map(({ flows }) => flows.get(workspace)?.start ?? Infinity);
-    const start = Math.min(...starts);
-    return start < Infinity ? start : (this.#times.get(priority)?.getStart(workspace) ?? 0);
+    return this.#bands.flatMap(({ flows }) =>
+      [...flows.values()]
+        .flat()
+        .map(({ item }) => item.call)
+        .filter((other) => this.#compare(other, call) <= 0),
+    );
   }
 
-  #countWaiting(workspace: WorkspaceId | undefined): number {
-    return this.#counts.get(workspace) ?? 0;
+  #compare(a: FairCall, b: FairCall): number {
+    return (
+      compareRank(a, b) ||
+      Number(this.isAboveShare(a)) - Number(this.isAboveShare(b)) ||
+      a.waitUntil - b.waitUntil
+    );
   }
 
   #getOrCreateBand({ priority, isLate }: CallRank): Band<Item> {
     const existing = this.#bands.find((band) => compareRank(band, { priority, isLate }) === 0);
     if (existing) return existing;
-    const band = { priority, isLate, flows: new Map(), order: [] };
+    const band = { priority, isLate, flows: new Map() };
     addSorted<Band<Item>>(this.#bands, band, compareRank);
     return band;
   }
 }
 
-function compareFlows(a: Flow<unknown>, b: Flow<unknown>): number {
-  if (a.start !== b.start) return a.start - b.start;
-  return a.sequence - b.sequence;
+function compareWaits(a: Entry<FairItem>, b: Entry<FairItem>): number {
+  return a.item.call.waitUntil - b.item.call.waitUntil;
 }
 
-function compareWaits(a: FairItem, b: FairItem): number {
-  return a.call.waitUntil - b.call.waitUntil;
+function compareEntries(a: Entry<FairItem>, b: Entry<FairItem>): number {
+  return compareWaits(a, b) || a.sequence - b.sequence;
 }
 
 /**
@@ -319,10 +275,6 @@
   return Math.max(roomMs, rate * (waitUntil - now) - laterMs);
 }
 
-function getCall({ call }: FairItem): FairCall {
-  return call;
-}
-
 function sumCosts(calls: readonly FairCall[]): number {
   return calls.reduce((sum, { costMs }) => sum + costMs, 0);
 }
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -110,7 +110,7 @@
   recordHedge(call: AdmissionRequest): void {
     this.#getOrCreateQueue(call.service).recordService({
       workspace: call.workspace?.name,
-      priority: getPriority(call),
+      ratePerSecond: call.workspace?.ratePerSecond,
       costMs: this.#estimateCostMs(call),
     });
   }
@@ -184,7 +184,8 @@
           continue;
         }
         const canStart = this.#canStart(call, pick, isTimeUp || waitingCall.isLate);
-        if (canStart || (isTimeUp && this.#mayQueueAtEndpoint(call, pick))) {
+        const mayQueue = isTimeUp && !queue.isAboveShare(waitingCall);
+        if (canStart || (mayQueue && this.#mayQueueAtEndpoint(call, pick))) {
           // Recorded before the call leaves the queue, so that the next one is chosen accordingly.
           queue.recordService(waitingCall);
           return pick;
@@ -251,7 +252,8 @@
     const isLate = latestStartAt <= now;
     const waitUntil = isLate ? now + lateWaitShare * route.targetLatencyMs : latestStartAt;
     const priority = getPriority(call);
-    return { workspace: workspace?.name, priority, isLate, waitUntil, costMs };
+    const { name, ratePerSecond } = workspace ?? {};
+    return { workspace: name, ratePerSecond, priority, isLate, waitUntil, costMs };
   }
 
   #calculatePollIntervalMs({ route }: AdmissionRequest): number {
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -2,6 +2,12 @@
 import type { FairCall, ServedCall, WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
 import type { Clock } from '@dotterelpass/values';
 
+/**
+ * Factor on the polling interval of a call whose workspace is above its share, so that instances on
+ * which workspaces within their shares wait find free capacity first.
+ */
+const yieldFactor = 3;
+
 /** A call that waits for an endpoint with spare capacity. */
 export type WaitingCall = FairCall;
 
@@ -63,6 +69,11 @@
     return this.#order.hasExcess(call);
   }
 
+  /** See {@link FairQueue.isAboveShare}. */
+  isAboveShare(call: WaitingCall): boolean {
+    return this.#order.isAboveShare(call);
+  }
+
   /** See {@link FairQueue.findRefusal}. */
   findRefusal(call: WaitingCall): WaitEstimate | undefined {
     return this.#order.findRefusal(call);
@@ -90,11 +101,14 @@
     return waiter;
   }
 
-  /** Removes a call, and lets the call that is now the first look for an endpoint at once. */
+  /**
+   * Removes a call, and lets the call that is now the first look for an endpoint at once: there may
+   * be capacity for more calls of a workspace above its share, which polls less often.
+   */
   remove(waiter: Waiter): void {
     const isFirst = this.isFirst(waiter);
     this.#order.remove(waiter);
-    if (isFirst) this.wakeFirst();
+    if (isFirst) this.#order.findFirst()?.wake();
   }
 
   /**
@@ -104,22 +118,32 @@
   recordService(call: ServedCall): void {
     const first = this.#order.findFirst();
     this.#order.recordService(call);
-    if (this.#order.findFirst() !== first) this.wakeFirst();
+    const next = this.#order.findFirst();
+    if (next !== first) next?.wake();
   }
 
-  /** Lets the first call look for an endpoint at once because one may have spare capacity. */
+  /**
+   * Lets the first call look for an endpoint at once because one may have spare capacity. A call of a
+   * workspace above its share leaves it to other instances until it polls again.
+   */
   wakeFirst(): void {
-    this.#order.findFirst()?.wake();
+    const first = this.#order.findFirst();
+    if (first && !this.isAboveShare(first.call)) first.wake();
   }
 
   /**
    * Waits until a call may look for an endpoint.
    *
    * @param waiter - Position of the call.
-   * @param pollIntervalMs - Maximum time between two looks of the first call, in milliseconds.
+   * @param pollIntervalMs - Maximum time between two looks of the first call, in milliseconds. It is
+   *   longer for a call whose workspace is above its share.
    */
   async waitForTurn(waiter: Waiter, pollIntervalMs: number): Promise<void> {
     const remainingMs = waiter.call.waitUntil - this.#clock.now();
-    await waiter.sleep(this.isFirst(waiter) ? Math.min(pollIntervalMs, remainingMs) : remainingMs);
+    const isFirst = this.isFirst(waiter);
+    const factor = this.isAboveShare(waiter.call) ? yieldFactor : 1;
+    await waiter.sleep(isFirst ? Math.min(factor * pollIntervalMs, remainingMs) : remainingMs);
+    // Shares change with time alone, and the new first call still sleeps to the end of its wait.
+    if (isFirst && !this.isFirst(waiter)) this.#order.findFirst()?.wake();
   }
 }
