--- a/packages/fairness/src/share.ts
+++ b/packages/fairness/src/share.ts
@@ -130,12 +130,12 @@
     this.#decayedAt += elapsedMs;
     const retention = Math.exp(-elapsedMs / timeConstantMs);
     this.#totalSquares *= retention;
-    this.#activities.forEach((activity, workspace) => {
+    for (const [workspace, activity] of this.#activities) {
       activity.serviceMs *= retention;
       if (activity.waiting === 0 && activity.serviceMs < minServiceMs) {
         this.#activities.delete(workspace);
       }
-    });
+    }
     this.#recount();
   }
 
--- a/packages/fairness/test/demand.ts
+++ b/packages/fairness/test/demand.ts
@@ -107,7 +107,10 @@
       });
       // Which instance finds a free slot first depends on the moments at which they look.
       const next = waiting[Math.floor(random.next() * waiting.length)];
-      if (next) startFirst(next);
+      const attempt = next?.findFirst();
+      if (!next || !attempt) return;
+      next.remove(attempt);
+      start(next, attempt);
     });
   };
   const startFirst = (order: Order) => {
