--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -5,6 +5,7 @@
 import type { AttemptRecord } from './call.js';
 import { CapacityQueue } from './capacity.js';
 import type { WaitingCall } from './capacity.js';
+import { getCallPriority } from './catalog.js';
 import type { Route } from './catalog.js';
 import type { LatencyEstimator } from './latency.js';
 import { busyFactor, hasSpareCapacity } from './picker.js';
@@ -251,7 +252,7 @@
     const latestStartAt = targetDeadlineAt - latestStartFactor * busyMs;
     const isLate = latestStartAt <= now;
     const waitUntil = isLate ? now + lateWaitShare * route.targetLatencyMs : latestStartAt;
-    const priority = getPriority(call);
+    const priority = getCallPriority(call);
     const { name, ratePerSecond } = workspace ?? {};
     return { workspace: name, ratePerSecond, priority, isLate, waitUntil, costMs };
   }
@@ -276,8 +277,3 @@
 ): PickRequest {
   return { service, route, tried: records.map(({ endpoint }) => endpoint) };
 }
-
-/** The priority of a workspace takes precedence over that of the route. */
-function getPriority({ workspace, route }: AdmissionRequest): number {
-  return workspace?.priority ?? route.priority;
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,7 @@
+import type { EvacuatedDomain } from '@dotterelpass/evacuation';
 import { CallerServer } from '@dotterelpass/proxy';
 import { RetryBudget } from '@dotterelpass/retries';
+import type { FleetLimiter, QuotaBounds } from '@dotterelpass/quota';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type {
   Clock,
@@ -15,6 +17,8 @@
 import type { Call } from './call.js';
 import { CallHandler } from './handler.js';
 import { CallHandover } from './handover.js';
+import { CallerIdentifier } from './identity.js';
+import { MarkSigner } from './mark.js';
 import type { PlannedStop } from './handler.js';
 import type { CallerBounds, GatewayConfig, Registration } from './catalog.js';
 import { CrashTable, getIncarnation } from './crashes.js';
@@ -25,16 +29,21 @@
 import { EndpointPreference } from './preference.js';
 import { Prober } from './prober.js';
 import { RecentFailures } from './failures.js';
+import { LimitedSender } from './quota.js';
 import { ReachMonitor } from './reach.js';
 import { EndpointRegistry } from './registry.js';
-import type { AskingEndpoint } from './summary.js';
+import type { AskingEndpoint, ColdEndpoint } from './summary.js';
 import { CallRecorder } from './recorder.js';
 import { RetryPolicy } from './retries.js';
 import { RouteTable } from './routes.js';
+import { WarmupGate } from './warmup.js';
 import { LatencyEstimator } from './latency.js';
 
-/** Limits that apply to all instances together. */
-export interface FleetLimits {
+/**
+ * Limits that apply to all instances together, and by how much shared rate limits may be exceeded;
+ * the latter have defaults.
+ */
+export interface FleetLimits extends Partial<QuotaBounds> {
   /**
    * Retry budget per service: the maximum ratio of extra attempts (retries and hedged requests) to
    * calls, and the number of extra attempts that are allowed besides.
@@ -51,10 +60,13 @@
   readonly instance: InstanceId;
   readonly failureDomain: FailureDomain;
   readonly limits: FleetLimits;
+  readonly limiter: FleetLimiter;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Called when a configuration is in force. */
+  onConfig(config: GatewayConfig): void;
   /** Called when an endpoint has crashed while it ran a request that is a suspect because of it. */
   onSuspect(fingerprint: string, incarnation: Incarnation): void;
   /** Called when a request is banned because endpoints seem to have crashed while running it. */
@@ -90,6 +102,8 @@
 
   readonly #handover: CallHandover;
 
+  readonly #markSigner = new MarkSigner();
+
   readonly #admission: CallAdmission;
 
   readonly #crashes: CrashTable;
@@ -131,16 +145,24 @@
       limits.retryWindowMs,
     ).unref();
     const backpressure = new BackpressureRecorder({ headerCodec, log, metrics });
+    const warmup = new WarmupGate({
+      limiter: options.limiter,
+      log,
+      metrics,
+      findRate: (service) => this.#config?.services.get(service)?.warmupRatePerSecond,
+    });
     this.#registry = new EndpointRegistry({
       clock,
       random,
       log,
       getFleetSize: () => this.#fleetSize,
       calculateConnectionLimit: (service) => this.#calculateConnectionLimit(service),
+      onListed: (endpoint) => warmup.reportChange(endpoint, 'registration'),
     });
     this.#prober = new Prober({
       headerCodec,
       backpressure,
+      warmup,
       metrics,
       getMaxProbesPerSecond: () =>
         (this.#limits.probesPerSecond * limitSafetyFactor * this.#registry.size) / this.#fleetSize,
@@ -160,8 +182,10 @@
       headerCodec,
       admission: this.#admission,
       backpressure,
+      warmup,
       picker,
       latency: this.#latency,
+      findEvacuation: (service) => this.#registry.findEvacuation(service),
       retries: new RetryPolicy({ budget: this.#budget, latency: this.#latency, metrics }),
       onConnectionReset: (call, endpoint) => {
         void this.#checkCrash(call, endpoint);
@@ -178,6 +202,7 @@
       instance: options.instance,
       headerCodec,
       sender,
+      signer: this.#markSigner,
       reach: this.#reach,
       clock,
       random,
@@ -189,7 +214,17 @@
     const handler = new CallHandler({
       headerCodec,
       routes: this.#routes,
-      sender: this.#handover,
+      sender: new LimitedSender({
+        sender: this.#handover,
+        limiter: options.limiter,
+        getConfig: () => this.#config,
+      }),
+      identifier: new CallerIdentifier({
+        headerCodec,
+        signer: this.#markSigner,
+        metrics,
+        getWorkspaces: () => this.#config?.workspaces,
+      }),
       crashes: this.#crashes,
       callerTimeouts: this.#callerTimeouts,
       random,
@@ -233,21 +268,25 @@
    * @param source - `store` or the id of the sending instance, for the log.
    */
   setConfig(config: GatewayConfig, source: string): void {
-    const previousVersion = this.#routes.version;
+    const { version: previousVersion, names: previousNames } = this.#routes;
     if (!this.#routes.setConfig(config)) return;
     this.#config = config;
+    this.#options.onConfig(config);
     this.#callers.setLimits(config.bounds);
     this.#registry.updateConnectionLimits();
-    const names = new Set(config.routes.map(({ name }) => name));
-    this.#callerTimeouts.retainRoutes(names);
-    this.#latency.retainRoutes(names);
-    const { version, routes, services } = config;
+    const { names } = this.#routes;
+    if (names !== previousNames) {
+      this.#callerTimeouts.retainRoutes(names);
+      this.#latency.retainRoutes(names);
+    }
+    const { version, routes, services, workspaces } = config;
     this.#options.log.info('configuration-in-force', {
       version,
       before: previousVersion,
       source,
       routes: routes.length,
       services: services.size,
+      ...(workspaces ? { workspaces: workspaces.size } : {}),
     });
   }
 
@@ -261,8 +300,21 @@
     return this.#registry.listAsking();
   }
 
-  /** See {@link CallHandover.setPeers}. */
-  setPeers(addresses: ReadonlyMap<InstanceId, string>): void {
+  /** The cold endpoints of the services that limit what these get. */
+  get coldEndpoints(): readonly ColdEndpoint[] {
+    const hasLimit = ({ service }: ColdEndpoint) =>
+      this.#config?.services.get(service)?.warmupRatePerSecond !== undefined;
+    return this.#registry.listCold().filter(hasLimit);
+  }
+
+  /**
+   * Sets the other instances, and the key that all instances share.
+   *
+   * @param peerKey - Signs the calls that instances hand over to each other. It may change.
+   * @param addresses - IP addresses and ports for callers.
+   */
+  setPeers(peerKey: string, addresses: ReadonlyMap<InstanceId, string>): void {
+    this.#markSigner.setPeerKey(peerKey);
     this.#handover.setPeers(addresses);
   }
 
@@ -294,6 +346,15 @@
     this.#registry.setRegistrations(registrations);
   }
 
+  /**
+   * Replaces the evacuated failure domains. Waiting calls look for another endpoint at once, or are
+   * refused.
+   */
+  setEvacuations(evacuated: readonly EvacuatedDomain[]): void {
+    this.#registry.setEvacuated(new Set(evacuated.map(({ domain }) => domain)));
+    this.#config?.services.forEach((_, service) => this.#admission.notifyCapacity(service));
+  }
+
   /** @param size - Number of instances that share the limits, including this one. */
   setFleetSize(size: number): void {
     if (size === this.#fleetSize || size < 1) return;
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -11,6 +11,7 @@
 import { Fleet } from './fleet.js';
 import type { Peer } from './peer.js';
 import { Gateway } from './gateway.js';
+import { FleetQuota } from './limiter.js';
 import type { FleetLimits } from './gateway.js';
 import { OperatorServer } from './operator.js';
 import type { SettingsTracker } from './settings.js';
@@ -73,6 +74,8 @@
 
   readonly #gateway: Gateway;
 
+  readonly #quota: FleetQuota;
+
   readonly #replica: StoreReplica;
 
   readonly #fleet: Fleet;
@@ -92,9 +95,13 @@
     this.#options = options;
     const { instance, incarnation, failureDomain, ip, peerPort, store, schema } = options;
     const { clock, random, log, metrics } = options;
+    this.#quota = new FleetQuota({ ...options, bounds: options.limits });
+    const quota = this.#quota;
     this.#gateway = new Gateway(
       {
         ...options,
+        limiter: quota.limiter,
+        onConfig: (config) => quota.setConfig(config),
         onSuspect: (fingerprint, crashed) => this.#fleet.reportCrash(fingerprint, crashed),
         onBan: (fingerprint) => {
           void this.#fleet.writeBan(fingerprint);
@@ -125,7 +132,10 @@
       clock,
       random,
       log,
-      onSize: (size) => gateway.setFleetSize(size),
+      onSize: (size) => {
+        gateway.setFleetSize(size);
+        quota.setSize(size);
+      },
       onChange: notifyChange,
       onBan: (fingerprint) => gateway.acceptBan(fingerprint),
       onLift: (fingerprint) => gateway.liftBan(fingerprint),
@@ -134,7 +144,8 @@
       },
       onPeers: (peerKey, peers) => {
         this.#peerSync.setPeers(peerKey, peers);
-        gateway.setPeers(listCallerAddresses(peers));
+        gateway.setPeers(peerKey, listCallerAddresses(peers));
+        quota.setPeers([...peers.keys()]);
       },
     });
     this.#peerSync = new PeerSync({
@@ -150,6 +161,7 @@
       log,
       readSummary: () => this.#readSummary(),
     });
+    quota.setMessenger(this.#peerSync);
     this.#readiness = createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503).end();
     });
@@ -189,7 +201,10 @@
   /** Whether the instance is ready for new callers. */
   get isReady(): boolean {
     const isReady =
-      !this.#isStopping && this.#gateway.version >= 0 && this.#replica.hasRegistrations;
+      !this.#isStopping &&
+      this.#gateway.version >= 0 &&
+      this.#replica.hasRegistrations &&
+      this.#replica.hasEvacuations;
     if (isReady !== this.#wasReady) {
       this.#wasReady = isReady;
       this.#options.log.info('readiness', { isReady, configVersion: this.#gateway.version });
@@ -231,6 +246,7 @@
   /** @param limits - New limits of the fleet. */
   setLimits(limits: FleetLimits): void {
     this.#gateway.setLimits(limits);
+    this.#quota.setBounds(limits);
   }
 
   /**
@@ -253,6 +269,7 @@
     const { callers } = this.#gateway;
     log.info('stopping', { active: callers.activeCalls, graceMs });
     const now = clock.now();
+    this.#quota.startDraining();
     this.#gateway.startDraining({
       lateFrom: now + graceMs * lateShare,
       endsAt: now + graceMs * closeShare,
@@ -261,6 +278,7 @@
     await callers.close(graceMs * (closeShare - drainShare));
     this.#replica.stop();
     this.#fleet.stop();
+    this.#quota.close();
     this.#peerSync.stop();
     this.#gateway.close();
     store.close();
@@ -271,11 +289,12 @@
 
   /** Logs what a start waits for, of which nothing else shows that it has not happened. */
   #reportStart(sinceStartMs: number): void {
-    const { failingSince, hasRegistrations } = this.#replica;
+    const { failingSince, hasRegistrations, hasEvacuations } = this.#replica;
     this.#options.log.warn('not-ready', {
       sinceStartMs: Math.round(sinceStartMs),
       hasConfig: this.#gateway.version >= 0,
       hasRegistrations,
+      hasEvacuations,
       isStoreLost: failingSince !== undefined,
       storeReader: this.#peerSync.source,
       peers: this.#peerSync.peerCount,
@@ -297,6 +316,9 @@
       configVersion: this.#gateway.version,
       outOfReach: this.#gateway.servicesOutOfReach,
       asking: this.#gateway.askingEndpoints,
+      quota: this.#quota.readStatus(),
+      evacuations: this.#replica.evacuations,
+      cold: this.#gateway.coldEndpoints,
       settings: settings.status,
     };
   }
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,6 +1,6 @@
-import { copyEndToEndHeaders, isOnReusedConnection } from '@dotterelpass/proxy';
+import { isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
-import type { Verdict } from '@dotterelpass/values';
+import type { FailureDomain, ServiceId, Verdict } from '@dotterelpass/values';
 import { isOverload, isPick } from './admission.js';
 import type { Admission, AdmissionOptions, CallAdmission } from './admission.js';
 import type { BackpressureRecorder } from './backpressure.js';
@@ -9,12 +9,14 @@
 import type { AttemptRecord, Call, CallResult, CallFailure, RetryBlock } from './call.js';
 import type { HeaderCodec } from './codec.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
+import { HeaderCopier } from './forwarding.js';
 import { calculateHedgeDelayMs, isSlowerThan, selectResult } from './hedge.js';
-import { handoverHeader } from './handover.js';
 import { hasSpareCapacity } from './picker.js';
 import type { Pick, Picker } from './picker.js';
 import type { LatencyEstimator } from './latency.js';
 import { countSent } from './retries.js';
+import { freeToken } from './warmup.js';
+import type { AttemptToken, WarmupGate } from './warmup.js';
 import type { RetryPolicy } from './retries.js';
 
 /**
@@ -27,9 +29,12 @@
   readonly headerCodec: HeaderCodec;
   readonly admission: CallAdmission;
   readonly backpressure: BackpressureRecorder;
+  readonly warmup: WarmupGate;
   readonly picker: Picker;
   readonly latency: LatencyEstimator;
   readonly retries: RetryPolicy;
+  /** Returns the failure domains of a service's endpoints, if all of them are evacuated. */
+  findEvacuation(service: ServiceId): readonly FailureDomain[] | undefined;
   /** Called when a connection was reset while the endpoint may have been running a call. */
   onConnectionReset(call: Call, endpoint: Endpoint): void;
 }
@@ -38,19 +43,11 @@
 export class CallSender {
   readonly #options: CallSenderOptions;
 
-  /**
-   * Request headers that are not copied from the caller because the instance sets them. A second
-   * Content-Length would allow request smuggling.
-   */
-  readonly #omittedRequestHeaders: ReadonlySet<string>;
+  readonly #copier: HeaderCopier;
 
   constructor(options: CallSenderOptions) {
     this.#options = options;
-    this.#omittedRequestHeaders = new Set([
-      ...options.headerCodec.replacedRequestHeaders,
-      'content-length',
-      handoverHeader,
-    ]);
+    this.#copier = new HeaderCopier(options.headerCodec);
   }
 
   /**
@@ -65,7 +62,7 @@
     records: AttemptRecord[],
     { mayWait }: AdmissionOptions = { mayWait: true },
   ): Promise<CallResult> {
-    const { retries } = this.#options;
+    const { retries, findEvacuation } = this.#options;
     let isCounted = false;
     let worstVerdict: Verdict = 'not-run';
     let lastFailure: CallFailure = {
@@ -81,9 +78,10 @@
         return addRetryBlock(this.#addReturnTime(call, failure), block, records);
       }
       const isRetry = countSent(records) > 0;
-      const pick = await this.#options.admission.admitCall(call, records, {
-        mayWait: mayWait || isRetry,
-      });
+      // Calls that wait for an endpoint must not hold up one that has none.
+      const pick = findEvacuation(call.service)
+        ? undefined
+        : await this.#options.admission.admitCall(call, records, { mayWait: mayWait || isRetry });
       if (call.incoming.cancellation.aborted) {
         const failure = { ...createCancelledFailure(), verdict: worstVerdict };
         return addRetryBlock(failure, 'caller-left', records);
@@ -91,16 +89,22 @@
       if (!isPick(pick)) {
         const failure = isRetry
           ? { ...lastFailure, verdict: worstVerdict }
-          : createUnsentFailure(call, pick);
+          : createUnsentFailure(call, pick, findEvacuation(call.service));
         return addRetryBlock(this.#addReturnTime(call, failure), getBlockReason(pick), records);
       }
-      // Another call may have taken the last request that the endpoint allows.
-      if (!pick.endpoint.backpressure.takeRequest()) continue;
+      const token = this.#takeToken(call, pick) ?? (await this.#waitForToken(call, pick));
+      if (!token) {
+        if (performance.now() < call.deadlineAt) continue;
+        const failure = isRetry
+          ? { ...lastFailure, verdict: worstVerdict }
+          : createUnsentFailure(call, 'overload', undefined);
+        return addRetryBlock(this.#addReturnTime(call, failure), 'time-left', records);
+      }
       // A call that is handed over is counted by the instance that sends it to an endpoint.
       if (!isCounted) retries.recordCall(call);
       isCounted = true;
       if (isRetry) retries.recordAttempt(call, 'retry');
-      const result = await this.#sendHedged(call, pick, records);
+      const result = await this.#sendHedged(call, pick, token, records);
       if (result.kind === 'answer') {
         const { statusCode = 0 } = result.response;
         // A 5xx response to an idempotent call is retried; the last one is passed to the caller.
@@ -136,12 +140,43 @@
     });
   }
 
+  /**
+   * Takes the right to send a request to a picked endpoint.
+   *
+   * @returns Undefined when the endpoint is cold, or another call has taken the last request that it
+   * allows.
+   */
+  #takeToken(call: Call, { endpoint }: Pick, token = freeToken): AttemptToken | undefined {
+    const isTaken =
+      (token !== freeToken || !this.#options.warmup.needsToken(endpoint)) &&
+      !call.incoming.cancellation.aborted &&
+      !endpoint.isEvacuated &&
+      endpoint.backpressure.takeRequest();
+    return isTaken ? token : undefined;
+  }
+
+  /** The same for a cold endpoint, whose requests all instances limit together. */
+  async #waitForToken(call: Call, pick: Pick): Promise<AttemptToken | undefined> {
+    const { warmup } = this.#options;
+    if (!warmup.needsToken(pick.endpoint)) return undefined;
+    const token = await warmup.takeToken(pick.endpoint);
+    if (!token) return undefined;
+    const taken = this.#takeToken(call, pick, token);
+    if (!taken) token.giveBack();
+    return taken;
+  }
+
   /** Sends a call, and hedges it on a second endpoint when it is idempotent and takes long. */
-  async #sendHedged(call: Call, pick: Pick, records: AttemptRecord[]): Promise<CallResult> {
+  async #sendHedged(
+    call: Call,
+    pick: Pick,
+    token: AttemptToken,
+    records: AttemptRecord[],
+  ): Promise<CallResult> {
     const { route, body, incoming } = call;
     const canHedge = route.repeat === 'idempotent' && body.kind !== 'stream';
     const firstCancellation = incoming.cancellation.makeChild();
-    const first = this.#sendAttempt(call, pick, records, firstCancellation);
+    const first = this.#sendAttempt(call, pick, token, records, firstCancellation);
     if (!canHedge) return first;
     const delayMs = calculateHedgeDelayMs(
       this.#options.latency.estimateMs(route),
@@ -153,11 +188,13 @@
     const secondPick = await this.#pick(call, records);
     if (!secondPick || !hasSpareCapacity(secondPick.endpoint) || incoming.cancellation.aborted)
       return first;
-    if (!secondPick.endpoint.backpressure.takeRequest()) return first;
+    const secondToken =
+      this.#takeToken(call, secondPick) ?? (await this.#waitForToken(call, secondPick));
+    if (!secondToken) return first;
     this.#options.retries.recordAttempt(call, 'hedge');
     this.#options.admission.recordHedge(call);
     const secondCancellation = incoming.cancellation.makeChild();
-    const second = this.#sendAttempt(call, secondPick, records, secondCancellation);
+    const second = this.#sendAttempt(call, secondPick, secondToken, records, secondCancellation);
     return selectResult(
       { result: first, cancellation: firstCancellation },
       { result: second, cancellation: secondCancellation },
@@ -167,6 +204,7 @@
   async #sendAttempt(
     call: Call,
     { endpoint, expectedMs, reportAgeMs, slowdown }: Pick,
+    token: AttemptToken,
     records: AttemptRecord[],
     cancellation: Cancellation,
   ): Promise<CallResult> {
@@ -190,8 +228,9 @@
       method: call.method,
       path: call.incoming.target.pathAndQuery,
       headers: [
-        ...copyEndToEndHeaders(call.incoming.request.rawHeaders, this.#omittedRequestHeaders),
+        ...this.#copier.copyHeaders(call),
         ...headerCodec.buildAttemptHeaders(id, remainingMs),
+        ...(call.workspace ? headerCodec.buildWorkspaceHeaders(call.workspace.name) : []),
       ],
       body: call.body,
       timeoutMs: remainingMs,
@@ -207,7 +246,10 @@
       endpoint.endCall(ending);
       admission.notifyCapacity(call.service);
     };
-    if (sentResult.isErr()) return this.#convertFailure(call, endpoint, sentResult.error, finish);
+    if (sentResult.isErr()) {
+      if (sentResult.error.verdict === 'not-run') token.giveBack();
+      return this.#convertFailure(call, endpoint, sentResult.error, finish);
+    }
     const response = sentResult.value;
     const { headers } = response;
     const isReused = isOnReusedConnection(response);
@@ -233,7 +275,10 @@
       if (body.kind === 'large') response.destroy();
       finish(classification.reason, 'shed');
       if (report) endpoint.recordReport(report);
-      if (classification.reason === 'other-endpoint') endpoint.recordUnreachable();
+      if (classification.reason === 'other-endpoint') {
+        token.giveBack();
+        endpoint.recordUnreachable();
+      }
       const message = `endpoint ${id} did not run the call: ${classification.reason}`;
       return { kind: 'failed', verdict: 'not-run', reason: 'shed', message };
     }
@@ -289,6 +334,10 @@
       finish('no-connection', 'cancelled');
       return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'connection', message };
     }
+    if (verdict === 'not-run' && endpoint.isEvacuated) {
+      finish('evacuated', 'cancelled');
+      return { kind: 'failed', verdict, reason: 'no-endpoint', message };
+    }
     if (verdict === 'not-run') {
       finish('unreachable', 'unreachable');
       return { kind: 'failed', verdict, reason: 'no-endpoint', message };
@@ -317,14 +366,23 @@
   return admission ? 'backpressure' : 'no-endpoint';
 }
 
-function createUnsentFailure({ service }: Call, pick: Exclude<Admission, Pick>): CallFailure {
+function createUnsentFailure(
+  { service }: Call,
+  pick: Exclude<Admission, Pick>,
+  evacuated: readonly FailureDomain[] | undefined,
+): CallFailure {
   const verdict = 'not-run';
+  if (evacuated) {
+    const domains = evacuated.join(', ');
+    const message = `all endpoints of service ${service} are in evacuated failure domains: ${domains}`;
+    return { kind: 'failed', verdict, reason: 'evacuated', message };
+  }
   if (pick && !isOverload(pick)) {
     return {
       kind: 'failed',
       verdict,
       reason: 'backpressure',
-      message: `all endpoints of service ${service} ask callers to wait`,
+      message: `all endpoints of service ${service} ask callers to wait or are warming up`,
     };
   }
   return pick
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders, IncomingMessage, RequestListener } from 'node:http';
 import { createServer as createTcpServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import type { FleetLimiter } from '@dotterelpass/quota';
 import { Metrics } from '@dotterelpass/telemetry';
 import type { LogFields } from '@dotterelpass/telemetry';
 import { makeRandom, systemClock } from '@dotterelpass/values';
@@ -11,8 +12,10 @@
   InstanceId,
   RequestId,
   ServiceId,
+  WorkspaceId,
 } from '@dotterelpass/values';
-import type { Route, RouteName } from '../src/catalog.js';
+import type { Credential, WorkspaceTable } from '@dotterelpass/workspaces';
+import type { Registration, Route, RouteName } from '../src/catalog.js';
 import { HeaderCodec } from '../src/codec.js';
 import type {
   ParsedBackpressure,
@@ -21,6 +24,7 @@
   ResponseHead,
 } from '../src/codec.js';
 import { Gateway } from '../src/gateway.js';
+import { UnlimitedLimiter } from './unlimited.js';
 
 /** Slots of each endpoint, so that no call waits for one. */
 const slots = 200;
@@ -31,6 +35,13 @@
 class BedCodec extends HeaderCodec {
   override readonly replacedRequestHeaders: ReadonlySet<string> = new Set();
 
+  override readonly credentialHeaders: ReadonlySet<string> = new Set([
+    'authorization',
+    'tenant-id',
+  ]);
+
+  override readonly challenge = 'Token';
+
   override readonly internalResponseHeaders: ReadonlySet<string> = new Set();
 
   override parseRequestHeaders({ id, fails, 'timeout-ms': timeout }: IncomingHttpHeaders) {
@@ -57,10 +68,21 @@
         message: `the response belongs to request ${headers.id as string}`,
       };
     }
+    if (status === 421) return { kind: 'not-run', reason: 'other-endpoint' };
     if (headers.outcome === 'not-run') return { kind: 'not-run', reason: 'shed' };
     return { kind: 'answer', isSuccess: status < 500 };
   }
 
+  override parseCredential({ authorization }: IncomingHttpHeaders): Credential {
+    if (authorization === undefined) return { kind: 'missing' };
+    const key = /^Token (\S+)$/.exec(authorization)?.[1];
+    return key === undefined ? { kind: 'malformed' } : { kind: 'key', key };
+  }
+
+  override buildWorkspaceHeaders(workspace: WorkspaceId): string[] {
+    return ['Tenant-Id', workspace];
+  }
+
   override parseLoadReport() {
     return undefined;
   }
@@ -77,9 +99,11 @@
     return id !== undefined;
   }
 
-  override parseProbeResponse({ status }: ResponseHead): ProbeResult {
+  override parseProbeResponse({ status, headers }: ResponseHead): ProbeResult {
     const report = { running: 0, waiting: 0, slots, slowdown: 1 };
-    return { isHealthy: status === 200, id: undefined, report };
+    const { 'warmup-ms': text } = headers;
+    const warmupMs = text === undefined ? undefined : Number(text);
+    return { isHealthy: status === 200, id: undefined, report, warmupMs };
   }
 }
 
@@ -90,6 +114,20 @@
   /** Connections that an endpoint takes from all instances, from the next `setRoute` on. */
   maxConnections = 1000;
 
+  /** Workspaces from the next `setRoute` on; without any, no keys are asked for. */
+  workspaces: WorkspaceTable | undefined;
+
+  /** Whether a route is in force from the start on. */
+  hasConfiguration = true;
+
+  readonly metrics = new Metrics();
+
+  /** Requests a second that a cold endpoint takes, from the next `setRoute` on. */
+  warmupRatePerSecond: number | undefined;
+
+  /** Warm-up times that the endpoints state in their answers to probes, by their indexes. */
+  readonly warmupMs: (number | undefined)[] = [];
+
   /** Log lines of the levels `info` and `error`. */
   readonly lines: { readonly event: string; readonly fields: LogFields }[] = [];
 
@@ -99,11 +137,12 @@
 
   #version = 0;
 
-  constructor() {
+  /** @param limiter - Hands out the tokens of limits; by default there are none. */
+  constructor(instance = 'one', limiter: FleetLimiter = new UnlimitedLimiter()) {
     this.gateway = new Gateway(
       {
         headerCodec: new BedCodec(),
-        instance: 'one' as InstanceId,
+        instance: instance as InstanceId,
         failureDomain: 'z1' as FailureDomain,
         limits: {
           retryShare: 0,
@@ -111,6 +150,8 @@
           retryWindowMs: 10_000,
           probesPerSecond: 10_000,
         },
+        limiter,
+        onConfig: () => undefined,
         clock: systemClock,
         random: makeRandom(7),
         log: {
@@ -119,7 +160,7 @@
           warn: () => undefined,
           error: (event, fields = {}) => this.lines.push({ event, fields }),
         },
-        metrics: new Metrics(),
+        metrics: this.metrics,
         onSuspect: () => undefined,
         onBan: () => undefined,
       },
@@ -137,40 +178,46 @@
     return this.#endpoints.map((server) => (server.address() as AddressInfo).port);
   }
 
+  /** Registrations of the endpoints. */
+  get registrations(): Registration[] {
+    return this.endpointPorts.map((port, index) => ({
+      id: `i-${index + 1}` as EndpointId,
+      service,
+      address: `127.0.0.1:${port}`,
+      failureDomain: 'z1' as FailureDomain,
+      slots,
+      state: 'ready',
+      startedAtMs: 1,
+      warmupMs: 0,
+    }));
+  }
+
   /**
    * Starts the gateway and its endpoints.
    *
    * @param handlers - What each endpoint does with a request that is no health probe.
    */
   async start(...handlers: RequestListener[]): Promise<void> {
-    for (const handle of handlers) this.#endpoints.push(await listen(makeEndpoint(handle)));
+    for (const [index, handle] of handlers.entries()) {
+      const endpoint = makeEndpoint(handle, () => this.warmupMs[index]);
+      this.#endpoints.push(await listen(endpoint));
+    }
     await this.#startGateway();
   }
 
   /**
-   * Starts the gateway in front of one endpoint that speaks on sockets.
+   * Starts the gateway in front of endpoints that speak on sockets.
    *
-   * @param handle - Handles each connection, also for health probes.
+   * @param handlers - What each endpoint does with a connection, also for health probes.
    */
-  async startRaw(handle: (socket: Socket) => void): Promise<void> {
-    this.#endpoints.push(await listen(createTcpServer(handle)));
+  async startRaw(...handlers: ((socket: Socket) => void)[]): Promise<void> {
+    for (const handle of handlers) this.#endpoints.push(await listen(createTcpServer(handle)));
     await this.#startGateway();
   }
 
   async #startGateway(): Promise<void> {
-    this.setRoute({});
-    this.gateway.setRegistrations(
-      this.endpointPorts.map((port, index) => ({
-        id: `i-${index + 1}` as EndpointId,
-        service,
-        address: `127.0.0.1:${port}`,
-        failureDomain: 'z1' as FailureDomain,
-        slots,
-        state: 'ready',
-        startedAtMs: 1,
-        warmupMs: 0,
-      })),
-    );
+    if (this.hasConfiguration) this.setRoute({});
+    this.gateway.setRegistrations(this.registrations);
     this.#port = await this.gateway.callers.listen('127.0.0.1', 0);
   }
 
@@ -194,7 +241,15 @@
         version: this.#version,
         routes: [route],
         services: new Map([
-          [service, { name: service, healthPath: '/healthz', maxConnections: this.maxConnections }],
+          [
+            service,
+            {
+              name: service,
+              healthPath: '/healthz',
+              maxConnections: this.maxConnections,
+              warmupRatePerSecond: this.warmupRatePerSecond,
+            },
+          ],
         ]),
         bounds: {
           maxHeaderBytes: 16 * 1024,
@@ -202,6 +257,7 @@
           headersTimeoutMs: 10_000,
           idleMs: 60_000,
         },
+        workspaces: this.workspaces,
       },
       'test',
     );
@@ -217,10 +273,13 @@
   }
 }
 
-function makeEndpoint(handle: RequestListener): HttpServer {
+function makeEndpoint(handle: RequestListener, readWarmupMs: () => number | undefined): HttpServer {
   return createServer((request: IncomingMessage, response) => {
-    if (request.url === '/healthz') response.end('ok');
-    else handle(request, response);
+    if (request.url === '/healthz') {
+      const warmupMs = readWarmupMs();
+      if (warmupMs !== undefined) response.setHeader('warmup-ms', warmupMs);
+      response.end('ok');
+    } else handle(request, response);
   });
 }
 
--- a/packages/gateway/test/handover.test.ts
+++ b/packages/gateway/test/handover.test.ts
@@ -7,8 +7,10 @@
 import type { InstanceId, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Call, CallResult, CallTrace } from '../src/call.js';
-import { CallHandover, parseHandover } from '../src/handover.js';
+import { CallHandover } from '../src/handover.js';
+import { MarkSigner, parseHandover } from '../src/mark.js';
 import type { Reach } from '../src/reach.js';
+import { invalidStatusLines } from './raw.js';
 
 const service = 'a' as ServiceId;
 
@@ -57,6 +59,7 @@
     instance: 'one' as InstanceId,
     headerCodec: {
       replacedRequestHeaders: new Set(),
+      credentialHeaders: new Set(),
       buildTimeoutHeaders: (ms: number) => ['timeout-ms', String(ms)],
     } as never,
     sender: {
@@ -66,6 +69,7 @@
         return result;
       },
     } as never,
+    signer: new MarkSigner(),
     reach: { checkReach: () => reach } as never,
     clock,
     random: makeRandom(3),
@@ -141,6 +145,13 @@
     },
     { name: 'a reset', answers: { a: '' }, expected: 'reset may-have-run', count: 1 },
     { name: 'a failure', answers: { a: failed, b: failed }, expected: '502', count: 1 },
+    // A status that is not valid proves nothing, whatever the headers state.
+    ...invalidStatusLines.map((line) => ({
+      name: line,
+      answers: { a: `${line}\r\nX-Request-Outcome: not-run\r\nContent-Length: 0\r\n\r\n` },
+      expected: 'invalid may-have-run',
+      count: 1,
+    })),
     { name: 'an unknown route', answers: { a: unknownRoute }, expected: '404', count: 1 },
     {
       name: 'refusals',
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -5,6 +5,7 @@
 import { Metrics, createLogger } from '@dotterelpass/telemetry';
 import { systemClock } from '@dotterelpass/values';
 import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
+import type { Credential } from '@dotterelpass/workspaces';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { HeaderCodec } from '../src/codec.js';
 import type {
@@ -16,12 +17,19 @@
 import { BackpressureRecorder } from '../src/backpressure.js';
 import { Endpoint } from '../src/endpoint.js';
 import { createBackpressure } from './backpressure.js';
+import { UnlimitedLimiter } from './unlimited.js';
+import { WarmupGate } from '../src/warmup.js';
+import { invalidStatusLines } from './raw.js';
 import { Prober } from '../src/prober.js';
 
 /** Reads the load from the header `load`, which holds the number of running calls. */
 class TestCodec extends HeaderCodec {
   override readonly replacedRequestHeaders: ReadonlySet<string> = new Set();
 
+  override readonly credentialHeaders: ReadonlySet<string> = new Set();
+
+  override readonly challenge = '';
+
   override readonly internalResponseHeaders: ReadonlySet<string> = new Set();
 
   override parseRequestHeaders() {
@@ -40,6 +48,14 @@
     return { kind: 'answer', isSuccess: true };
   }
 
+  override parseCredential(): Credential {
+    return { kind: 'missing' };
+  }
+
+  override buildWorkspaceHeaders(): string[] {
+    return [];
+  }
+
   override parseLoadReport() {
     return undefined;
   }
@@ -136,6 +152,12 @@
   const prober = new Prober({
     headerCodec,
     backpressure: new BackpressureRecorder({ headerCodec, log, metrics }),
+    warmup: new WarmupGate({
+      limiter: new UnlimitedLimiter(),
+      log,
+      metrics,
+      findRate: () => undefined,
+    }),
     metrics,
     getMaxProbesPerSecond: () => 1000,
     findHealthPath: () => '/health',
@@ -225,6 +247,34 @@
     expect(endpoint.isReachable).toBe(false);
   });
 
+  /**
+   * Guards against a load report in a response with a status such as 000: the endpoint would count
+   * as reachable, and get calls.
+   */
+  it.each(invalidStatusLines)('takes no answer from a response with %s', async (line) => {
+    const bad = `${line}\r\nload: 0\r\ncontent-length: 0\r\n\r\n`;
+    const { endpoint, prober, countConnections } = await openFixture((socket, request) => {
+      socket.write(request === 0 && sockets.length === 1 ? answer : bad);
+    });
+    expect(await prober.probe(endpoint)).toBe(true);
+    const { answeredAt } = endpoint;
+    // On the kept connection it may belong to an earlier call, so the probe is repeated on a new one.
+    expect(await prober.probe(endpoint)).toBe(false);
+    expect(countConnections()).toBe(2);
+    expect(endpoint).toMatchObject({ isReachable: false, answeredAt, report: undefined });
+    await vi.waitFor(() => expect(sockets.every(({ destroyed }) => destroyed)).toBe(true));
+  });
+
+  it.each(invalidStatusLines)('takes no late answer from a response with %s', async (line) => {
+    const { endpoint, prober, onLateReport } = await openFixture((socket) => {
+      setTimeout(() => socket.write(`${line}\r\nload: 0\r\ncontent-length: 0\r\n\r\n`), 200);
+    });
+    expect(await prober.probe(endpoint)).toBe(false);
+    await vi.waitFor(() => expect(endpoint.isReachable).toBe(false));
+    expect(onLateReport).not.toHaveBeenCalled();
+    expect(endpoint.report).toBeUndefined();
+  });
+
   /** Guards against responses without end, which would use memory and time until the time limit. */
   it.each([
     {
