Stop yielding capacity to other instances

Cause: an instance whose first call was above the share of its workspace looked less often and was not woken, so less urgent calls of other instances and fresh calls started while a more urgent one waited ('starts no call while a more urgent one waits', failed). Change: the first call is always woken and polls at the usual interval. A fresh call checks again after the probe that no call goes before it, also without a workspace; if one does, that one looks at once. hasExcess compares calls of equal priority only.

--- a/packages/fairness/src/queue.ts
+++ b/packages/fairness/src/queue.ts
@@ -111,15 +111,14 @@
 
   /**
    * Whether a call at the end of its wait, which may overtake others, gives way to the one that is
-   * next: when its workspace is above its share and that of the other is not, because a workspace with
-   * many waiting calls has one at its end at most times, and would otherwise get most of the capacity;
-   * and when the other is more urgent but has not looked yet because it yields to other instances.
+   * next: when its workspace is above its share and that of the other, of equal priority, is not. A
+   * workspace with many waiting calls has one at its end at most times, and would otherwise get most of
+   * the capacity.
    */
   hasExcess(call: FairCall): boolean {
     const first = this.findFirst()?.call;
-    if (!first) return false;
-    if (first.priority < call.priority) return this.isAboveShare(first);
-    return first.priority === call.priority && this.isAboveShare(call) && !this.isAboveShare(first);
+    if (first?.priority !== call.priority) return false;
+    return this.isAboveShare(call) && !this.isAboveShare(first);
   }
 
   /** Whether the workspace of a call gets clearly more than its share. */
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -139,11 +139,12 @@
     if (!queue.hasPrecedence(waitingCall)) {
       const pick = await this.#pick(call, records, false);
       if (pick && this.#canStart(call, pick, waitingCall.isLate)) {
-        // Requests of the same workspace may have been sent while the endpoints were probed.
-        if (!call.workspace || !queue.hasPrecedence(waitingCall)) {
+        // A call that goes before this one may have begun to wait while the endpoints were probed.
+        if (!queue.hasPrecedence(waitingCall)) {
           queue.recordService(waitingCall);
           return pick;
         }
+        queue.wakeFirst();
       }
       if (!pick) {
         const block = this.#findBlock(call, records);
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -2,12 +2,6 @@
 import type { FairCall, ServedCall, WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
 import type { Clock } from '@dotterelpass/values';
 
-/**
- * Factor on the polling interval of a call whose workspace is above its share, so that instances on
- * which workspaces within their shares wait find free capacity first.
- */
-const yieldFactor = 3;
-
 /** A call that waits for an endpoint with spare capacity. */
 export type WaitingCall = FairCall;
 
@@ -101,14 +95,11 @@
     return waiter;
   }
 
-  /**
-   * Removes a call, and lets the call that is now the first look for an endpoint at once: there may
-   * be capacity for more calls of a workspace above its share, which polls less often.
-   */
+  /** Removes a call, and lets the call that is now the first look for an endpoint at once. */
   remove(waiter: Waiter): void {
     const isFirst = this.isFirst(waiter);
     this.#order.remove(waiter);
-    if (isFirst) this.#order.findFirst()?.wake();
+    if (isFirst) this.wakeFirst();
   }
 
   /**
@@ -122,28 +113,22 @@
     if (next !== first) next?.wake();
   }
 
-  /**
-   * Lets the first call look for an endpoint at once because one may have spare capacity. A call of a
-   * workspace above its share leaves it to other instances until it polls again.
-   */
+  /** Lets the first call look for an endpoint at once because one may have spare capacity. */
   wakeFirst(): void {
-    const first = this.#order.findFirst();
-    if (first && !this.isAboveShare(first.call)) first.wake();
+    this.#order.findFirst()?.wake();
   }
 
   /**
    * Waits until a call may look for an endpoint.
    *
    * @param waiter - Position of the call.
-   * @param pollIntervalMs - Maximum time between two looks of the first call, in milliseconds. It is
-   *   longer for a call whose workspace is above its share.
+   * @param pollIntervalMs - Maximum time between two looks of the first call, in milliseconds.
    */
   async waitForTurn(waiter: Waiter, pollIntervalMs: number): Promise<void> {
     const remainingMs = waiter.call.waitUntil - this.#clock.now();
     const isFirst = this.isFirst(waiter);
-    const factor = this.isAboveShare(waiter.call) ? yieldFactor : 1;
-    await waiter.sleep(isFirst ? Math.min(factor * pollIntervalMs, remainingMs) : remainingMs);
+    await waiter.sleep(isFirst ? Math.min(pollIntervalMs, remainingMs) : remainingMs);
     // Shares change with time alone, and the new first call still sleeps to the end of its wait.
-    if (isFirst && !this.isFirst(waiter)) this.#order.findFirst()?.wake();
+    if (isFirst && !this.isFirst(waiter)) this.wakeFirst();
   }
 }
