Refuse no call within its share for calls that will be above theirs

Change: before a call within its share, the calls of equal rank of another workspace count only as far as that one is within its share when they are reached. The queue keeps one list a workspace and rank in place of bands, entries and a sorted insertion of its own; demand is listed in the order of the queue. The comparison takes other seeds from FAIRNESS_SEEDS.

--- a/packages/fairness/src/queue.ts
+++ b/packages/fairness/src/queue.ts
@@ -1,10 +1,9 @@
 import type { Clock, WorkspaceId } from '@dotterelpass/values';
 import { compareRank } from './order.js';
-import type { CallRank, FairCall } from './order.js';
+import type { FairCall } from './order.js';
 import { ServiceRate } from './rate.js';
 import { WorkspaceShares } from './share.js';
 import type { ServedCall } from './share.js';
-import { addSorted } from './sorted.js';
 
 /**
  * Calls of one workspace that may wait for one service. Until the rate of service is known, this
@@ -40,26 +39,14 @@
   readonly leadMs: number;
 }
 
-/** Waiting calls of one rank. */
-interface Band<Item> extends CallRank {
-  /** The calls of each workspace, in the order of the ends of their waits. */
-  readonly flows: Map<WorkspaceId | undefined, Entry<Item>[]>;
-}
-
-interface Entry<Item> {
-  readonly item: Item;
-  /** Orders calls of equal rank and wait by their arrival. */
-  readonly sequence: number;
-}
+/** Waiting calls of one workspace and rank, by the ends of their waits. */
+type Flow<Item> = [Item, ...Item[]];
 
 /**
  * The order in which the waiting calls of one service get capacity: by priority, then calls that can
  * be in time, then those of workspaces that are not clearly above their share, then the end of the
  * wait. Calls without a workspace are never above a share.
  *
- * Sharing by equal turns (start-time fair queueing) was weighed. It ignores which calls can wait, so
- * it served fewer of them, and it took from large workspaces what their quotas give them.
- *
  * Finding the first call takes a time that grows with the number of waiting workspaces, not with that
  * of their calls. Only the decision on a refusal looks at all calls ahead.
  */
@@ -70,12 +57,7 @@
 
   readonly #rate: ServiceRate;
 
-  /** In the order of their ranks. */
-  readonly #bands: Band<Item>[] = [];
-
-  #size = 0;
-
-  #sequence = 0;
+  #flows: Flow<Item>[] = [];
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -84,23 +66,16 @@
   }
 
   get size(): number {
-    return this.#size;
+    return sum(this.#flows.map(({ length }) => length));
   }
 
   /** @returns The next call to be sent; undefined when none waits. */
   findFirst(): Item | undefined {
-    let first: Entry<Item> | undefined;
-    let isFirstAbove = false;
-    this.#bands[0]?.flows.forEach(([entry], workspace) => {
-      if (!entry) return;
-      const isAbove = this.#shares.isAbove(workspace);
-      const isBefore =
-        !first || (isAbove === isFirstAbove ? compareEntries(entry, first) < 0 : isFirstAbove);
-      if (!isBefore) return;
-      first = entry;
-      isFirstAbove = isAbove;
+    let first: Item | undefined;
+    this.#flows.forEach(([item]) => {
+      if (!first || this.#compare(item.call, first.call) < 0) first = item;
     });
-    return first?.item;
+    return first;
   }
 
   /** Whether a call that is already waiting is sent before this one. */
@@ -128,30 +103,25 @@
 
   add(item: Item): void {
     const { call } = item;
-    if (this.#size === 0) this.#rate.start();
-    const { flows } = this.#getOrCreateBand(call);
-    const flow = flows.get(call.workspace) ?? [];
-    flows.set(call.workspace, flow);
-    this.#sequence += 1;
-    addSorted(flow, { item, sequence: this.#sequence }, compareWaits);
-    this.#size += 1;
+    if (this.#flows.length === 0) this.#rate.start();
     this.#shares.recordWait(call, 1);
+    const flow = this.#findFlow(call);
+    if (!flow) {
+      this.#flows.push([item]);
+      return;
+    }
+    const previous = flow.findLastIndex((other) => other.call.waitUntil <= call.waitUntil);
+    flow.splice(previous + 1, 0, item);
   }
 
   /** @returns Whether the item was waiting. */
   remove(item: Item): boolean {
-    const { call } = item;
-    const bandIndex = this.#bands.findIndex((other) => compareRank(other, call) === 0);
-    const flows = this.#bands[bandIndex]?.flows;
-    const flow = flows?.get(call.workspace);
-    const index = flow?.findIndex((entry) => entry.item === item) ?? -1;
-    if (!flows || !flow || index < 0) return false;
-    flow.splice(index, 1);
-    if (flow.length === 0) flows.delete(call.workspace);
-    if (flows.size === 0) this.#bands.splice(bandIndex, 1);
-    this.#size -= 1;
-    this.#shares.recordWait(call, -1);
-    if (this.#size === 0) this.#rate.end();
+    const flow = this.#findFlow(item.call);
+    if (!flow?.includes(item)) return false;
+    flow.splice(flow.indexOf(item), 1);
+    if (flow.length === 0) this.#flows.splice(this.#flows.indexOf(flow), 1);
+    this.#shares.recordWait(item.call, -1);
+    if (this.#flows.length === 0) this.#rate.end();
     return true;
   }
 
@@ -177,56 +147,79 @@
    * @returns The inputs of a refusal; undefined when the call may wait.
    */
   findRefusal(call: FairCall): WaitEstimate | undefined {
-    const queuedOfWorkspace = this.#shares.countWaiting(call.workspace);
-    if (queuedOfWorkspace === 0) return undefined;
-    if (queuedOfWorkspace >= maxWaitingPerWorkspace) return this.estimateWait(call);
-    const rate = this.#rate.estimate(call.costMs);
-    if (!rate) return undefined;
-    const now = this.#clock.now();
-    const ahead = this.#listAhead(call);
-    return calculateRoomMs(call, ahead, rate.bound, now) < call.costMs
+    if (call.workspace === undefined) return undefined;
+    const waiting = this.#countWaiting(call.workspace);
+    if (waiting === 0) return undefined;
+    return waiting >= maxWaitingPerWorkspace || !this.#hasRoom(call)
       ? this.estimateWait(call)
       : undefined;
   }
 
   /** Estimates the wait of a call; a call that already waits counts among those ahead. */
   estimateWait(call: FairCall): WaitEstimate {
-    const availableMs = Math.max(0, call.waitUntil - this.#clock.now());
     const workAheadMs = sumCosts(this.#listAhead(call));
     const rate = this.#rate.estimate(call.costMs)?.mean;
-    const serviceRate = rate === undefined ? undefined : Math.round(rate * 1000) / 1000;
     return {
-      queued: this.#size,
-      queuedOfWorkspace: this.#shares.countWaiting(call.workspace),
+      queued: this.size,
+      queuedOfWorkspace: this.#countWaiting(call.workspace),
       workAheadMs: Math.round(workAheadMs),
-      serviceRate,
-      expectedWaitMs: serviceRate ? Math.round(workAheadMs / serviceRate) : undefined,
-      availableMs: Math.round(availableMs),
+      serviceRate: rate === undefined ? undefined : Math.round(rate * 1000) / 1000,
+      expectedWaitMs: rate ? Math.round(workAheadMs / rate) : undefined,
+      availableMs: Math.max(0, Math.round(call.waitUntil - this.#clock.now())),
     };
   }
 
   /** @returns The waiting calls by workspace. */
   listDemand(): readonly WorkspaceDemand[] {
-    const waiting = this.#shares.listWaiting();
-    const others = this.#size - waiting.reduce((sum, { calls }) => sum + calls, 0);
-    const demand = waiting.map(({ workspace, calls }) => ({
+    const workspaces = new Set(this.#flows.map(([{ call }]) => call.workspace));
+    return [...workspaces].map((workspace) => ({
       workspace,
-      calls,
-      leadMs: Math.round(this.#shares.getExcessMs(workspace)),
+      calls: this.#countWaiting(workspace),
+      leadMs: Math.max(0, Math.round(-this.#shares.getRoomMs(workspace))),
     }));
-    return others > 0 ? [...demand, { workspace: undefined, calls: others, leadMs: 0 }] : demand;
   }
 
-  /** Lists the calls that are sent before another one, if none comes after it. */
-  #listAhead(call: FairCall): FairCall[] {
-    return this.#bands.flatMap(({ flows }) =>
-      [...flows.values()]
-        .flat()
-        .map(({ item }) => item.call)
-        .filter((other) => this.#compare(other, call) <= 0),
+  #countWaiting(workspace: WorkspaceId | undefined): number {
+    const flows = this.#flows.filter(([{ call }]) => call.workspace === workspace);
+    return sum(flows.map(({ length }) => length));
+  }
+
+  #findFlow(call: FairCall): Flow<Item> | undefined {
+    return this.#flows.find(
+      ([other]) => other.call.workspace === call.workspace && compareRank(other.call, call) === 0,
     );
   }
 
+  /** Whether the calls ahead may leave time for a call; true while the rate is unknown. */
+  #hasRoom(call: FairCall): boolean {
+    const rate = this.#rate.estimate(call.costMs);
+    if (!rate) return true;
+    const roomMs = calculateRoomMs(call, this.#listAhead(call), rate.bound, this.#clock.now());
+    return roomMs >= call.costMs;
+  }
+
+  /**
+   * Lists the calls that are sent before another one, if none comes after it. For a call within the
+   * share of its workspace, those of equal rank and other workspaces count only as far as they are
+   * within their shares too when they are reached.
+   */
+  #listAhead(call: FairCall): FairCall[] {
+    const ahead = this.#flows
+      .flatMap((flow) => flow.map((item) => item.call))
+      .filter((other) => this.#compare(other, call) <= 0);
+    if (this.isAboveShare(call)) return ahead;
+    const sentMs = new Map<WorkspaceId | undefined, number>();
+    return ahead
+      .sort((a, b) => this.#compare(a, b))
+      .filter((other) => {
+        const { workspace, costMs } = other;
+        const beforeMs = sentMs.get(workspace) ?? 0;
+        sentMs.set(workspace, beforeMs + costMs);
+        if (workspace === call.workspace || compareRank(other, call) < 0) return true;
+        return beforeMs <= this.#shares.getRoomMs(workspace);
+      });
+  }
+
   #compare(a: FairCall, b: FairCall): number {
     return (
       compareRank(a, b) ||
@@ -234,22 +227,6 @@
       a.waitUntil - b.waitUntil
     );
   }
-
-  #getOrCreateBand({ priority, isLate }: CallRank): Band<Item> {
-    const existing = this.#bands.find((band) => compareRank(band, { priority, isLate }) === 0);
-    if (existing) return existing;
-    const band = { priority, isLate, flows: new Map() };
-    addSorted<Band<Item>>(this.#bands, band, compareRank);
-    return band;
-  }
-}
-
-function compareWaits(a: Entry<FairItem>, b: Entry<FairItem>): number {
-  return a.item.call.waitUntil - b.item.call.waitUntil;
-}
-
-function compareEntries(a: Entry<FairItem>, b: Entry<FairItem>): number {
-  return compareWaits(a, b) || a.sequence - b.sequence;
 }
 
 /**
@@ -275,5 +252,9 @@
 }
 
 function sumCosts(calls: readonly FairCall[]): number {
-  return calls.reduce((sum, { costMs }) => sum + costMs, 0);
+  return sum(calls.map(({ costMs }) => costMs));
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/fairness/src/share.ts
+++ b/packages/fairness/src/share.ts
@@ -64,17 +64,6 @@
     return this.#activities.size;
   }
 
-  /** @returns The waiting workspaces with the numbers of their calls. */
-  listWaiting(): { readonly workspace: WorkspaceId; readonly calls: number }[] {
-    return [...this.#activities]
-      .map(([workspace, { waiting }]) => ({ workspace, calls: waiting }))
-      .filter(({ calls }) => calls > 0);
-  }
-
-  countWaiting(workspace: WorkspaceId | undefined): number {
-    return (workspace !== undefined && this.#activities.get(workspace)?.waiting) || 0;
-  }
-
   /** Records that a call begins (1) or ends (-1) to wait. */
   recordWait(call: ServedCall, change: 1 | -1): void {
     const activity = this.#getOrCreateActivity(call);
@@ -93,20 +82,20 @@
 
   /** Whether a workspace gets clearly more than its share. */
   isAbove(workspace: WorkspaceId | undefined): boolean {
-    return this.getExcessMs(workspace) > 0;
+    return this.getRoomMs(workspace) < 0;
   }
 
-  /** @returns The recent endpoint time of a workspace beyond the limit of its share, or 0. */
-  getExcessMs(workspace: WorkspaceId | undefined): number {
+  /** @returns Endpoint time that a workspace may get until it is above its share; negative above it. */
+  getRoomMs(workspace: WorkspaceId | undefined): number {
     this.#decay();
     const activity = workspace === undefined ? undefined : this.#activities.get(workspace);
-    if (!activity || this.#activities.size < 2) return 0;
+    if (!activity || this.#activities.size < 2) return Infinity;
     const shareMs = (this.#totalMs * this.#getWeight(activity)) / this.#totalWeight;
     // For random arrivals, the variance of the sum is the share times this length of a call.
     const callMs = this.#totalMs > 0 ? this.#totalSquares / this.#totalMs : 0;
     const deviationMs = Math.sqrt(shareMs * callMs);
     const allowedMs = allowedDeviations * deviationMs + allowedCalls * callMs;
-    return Math.max(0, activity.serviceMs - shareFactor * shareMs - allowedMs);
+    return shareFactor * shareMs + allowedMs - activity.serviceMs;
   }
 
   #getOrCreateActivity({ workspace, ratePerSecond = 0 }: ServedCall): Activity | undefined {
--- a/packages/fairness/test/compare.test.ts
+++ b/packages/fairness/test/compare.test.ts
@@ -152,7 +152,8 @@
 }
 
 const policies: readonly Policy[] = ['first come, first served', 'per route', 'fair'];
-const seeds = [1, 2, 3];
+/** `FAIRNESS_SEEDS` names others, for figures that no parameter can have been fitted to. */
+const seeds = (process.env.FAIRNESS_SEEDS ?? '1,2,3').split(',').map(Number);
 const fleets = [1, 8];
 
 describe.each(loads)('$name', (load) => {
--- a/packages/fairness/test/queue.test.ts
+++ b/packages/fairness/test/queue.test.ts
@@ -254,8 +254,8 @@
     // The share is 575 ms: 2,300 ms between four.
     const leadMs = Math.round(2000 - 2 * 575 - Math.sqrt(575 * 100) - 100);
     expect(queue.listDemand()).toEqual([
-      { workspace: 'b', calls: 1, leadMs: 0 },
       { workspace: 'hot', calls: 2, leadMs },
+      { workspace: 'b', calls: 1, leadMs: 0 },
       { workspace: undefined, calls: 1, leadMs: 0 },
     ]);
   });
@@ -292,6 +292,29 @@
     }
   });
 
+  /** Guards against refusals of calls that the workspaces ahead do not delay that long. */
+  it.each([
+    { name: 'that will be above its share first', priority: 1, isRefused: false },
+    { name: 'that goes first whatever its share', priority: 0, isRefused: true },
+  ])('refuses a call within its share behind a workspace $name: $isRefused', (variant) => {
+    const clock = new ManualClock();
+    const queue = new FairQueue<Item>(clock);
+    for (let count = 0; count < 100; count++) {
+      queue.add(makeItem('hot', { priority: variant.priority, waitUntil: 2000 }));
+    }
+    queue.add(makeItem('a', { waitUntil: 2000 }));
+    // Two calls of each workspace: nobody is above its share when the new call comes.
+    ['a', 'b', 'c', 'd', 'e', 'f', 'hot'].forEach((workspace) => {
+      clock.advance(140);
+      [1, 2].forEach(() => {
+        queue.recordService(makeItem(workspace).call);
+      });
+    });
+    const { call } = makeItem('a', { waitUntil: 2000 });
+    expect(queue.isAboveShare(makeItem('hot').call)).toBe(false);
+    expect(queue.findRefusal(call) !== undefined).toBe(variant.isRefused);
+  });
+
   /** Guards against refusals before anything is known about the rate of service. */
   it('does not refuse before the rate is known, up to a fixed number of calls', () => {
     const queue = new FairQueue<Item>(new ManualClock());
