Make the queue of the call path a fair queue

Change: CapacityQueue extends FairQueue and adds the waking. Cases of the comparison have their whole names. An unused type goes.

--- a/packages/fairness/src/order.ts
+++ b/packages/fairness/src/order.ts
@@ -16,11 +16,10 @@
   readonly costMs: number;
 }
 
-/** The properties that no sharing between workspaces may override. */
-export type CallRank = Pick<FairCall, 'priority' | 'isLate'>;
-
-/** Orders by priority, then calls that can still meet their target first. */
-export function compareRank(a: CallRank, b: CallRank): number {
-  if (a.priority !== b.priority) return a.priority - b.priority;
-  return Number(a.isLate) - Number(b.isLate);
+/**
+ * Orders by priority, then calls that can still meet their target first; no sharing between workspaces
+ * may override this.
+ */
+export function compareRank(a: FairCall, b: FairCall): number {
+  return a.priority - b.priority || Number(a.isLate) - Number(b.isLate);
 }
--- a/packages/fairness/test/compare.test.ts
+++ b/packages/fairness/test/compare.test.ts
@@ -156,7 +156,7 @@
 const seeds = (process.env.FAIRNESS_SEEDS ?? '1,2,3').split(',').map(Number);
 const fleets = [1, 8];
 
-describe.each(loads)('$name', (load) => {
+describe.each(loads.map((load) => [load.name, load] as const))('%s', (_, load) => {
   const cases = fleets.flatMap((instances) => seeds.map((seed) => ({ instances, seed })));
 
   /**
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -166,7 +166,7 @@
     const { clock } = this.#options;
     const { cancellation } = call.incoming;
     const localUntil = clock.now() + localWaitShare * call.route.targetLatencyMs;
-    const waiter = queue.add(waitingCall);
+    const waiter = queue.addCall(waitingCall);
     const wake = () => waiter.wake();
     cancellation.addListener(wake);
     try {
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -1,5 +1,5 @@
 import { FairQueue } from '@dotterelpass/fairness';
-import type { FairCall, ServedCall, WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
+import type { FairCall, ServedCall } from '@dotterelpass/fairness';
 import type { Clock } from '@dotterelpass/values';
 
 /** A call that waits for an endpoint with spare capacity. */
@@ -38,84 +38,48 @@
  * first one looks for an endpoint, so that urgent calls are not overtaken and the number of probes
  * does not grow with the number of waiting calls.
  */
-export class CapacityQueue {
+export class CapacityQueue extends FairQueue<Waiter> {
   readonly #clock: Clock;
 
-  /** Decides in which order the calls are sent. */
-  readonly #order: FairQueue<Waiter>;
-
   constructor(clock: Clock) {
+    super(clock);
     this.#clock = clock;
-    this.#order = new FairQueue(clock);
-  }
-
-  get size(): number {
-    return this.#order.size;
-  }
-
-  /** See {@link FairQueue.hasPrecedence}. */
-  hasPrecedence(call: WaitingCall): boolean {
-    return this.#order.hasPrecedence(call);
-  }
-
-  /** See {@link FairQueue.hasExcess}. */
-  hasExcess(call: WaitingCall): boolean {
-    return this.#order.hasExcess(call);
-  }
-
-  /** See {@link FairQueue.isAboveShare}. */
-  isAboveShare(call: WaitingCall): boolean {
-    return this.#order.isAboveShare(call);
-  }
-
-  /** See {@link FairQueue.findRefusal}. */
-  findRefusal(call: WaitingCall): WaitEstimate | undefined {
-    return this.#order.findRefusal(call);
-  }
-
-  /** See {@link FairQueue.estimateWait}. */
-  estimateWait(call: WaitingCall): WaitEstimate {
-    return this.#order.estimateWait(call);
-  }
-
-  /** See {@link FairQueue.listDemand}. */
-  listDemand(): readonly WorkspaceDemand[] {
-    return this.#order.listDemand();
   }
 
   /** Whether this call is the next one to be sent. */
   isFirst(waiter: Waiter): boolean {
-    return this.#order.findFirst() === waiter;
+    return this.findFirst() === waiter;
   }
 
   /** @returns The position of the added call; it must be removed by `remove`. */
-  add(call: WaitingCall): Waiter {
+  addCall(call: WaitingCall): Waiter {
     const waiter = new Waiter(call);
-    this.#order.add(waiter);
+    this.add(waiter);
     return waiter;
   }
 
   /** Removes a call, and lets the call that is now the first look for an endpoint at once. */
-  remove(waiter: Waiter): void {
+  override remove(waiter: Waiter): boolean {
     const isFirst = this.isFirst(waiter);
-    this.#order.remove(waiter);
+    const isRemoved = super.remove(waiter);
     if (isFirst) this.wakeFirst();
+    return isRemoved;
   }
 
   /**
    * Records a request that is sent for a call, and wakes the call that is now the first if it was
    * not the first before: it sleeps until the end of its wait.
    */
-  recordService(call: ServedCall): void {
-    const first = this.#order.findFirst();
-    this.#order.recordService(call);
-    const next = this.#order.findFirst();
+  override recordService(call: ServedCall): void {
+    const first = this.findFirst();
+    super.recordService(call);
+    const next = this.findFirst();
     if (next !== first) next?.wake();
   }
 
   /** Lets the first call look for an endpoint at once because one may have spare capacity. */
   wakeFirst(): void {
-    this.#order.findFirst()?.wake();
+    this.findFirst()?.wake();
   }
 
   /**
--- a/packages/gateway/test/capacity.test.ts
+++ b/packages/gateway/test/capacity.test.ts
@@ -24,7 +24,7 @@
       makeCall(undefined, { priority: 0, waitUntil: 30 }),
       makeCall(undefined, { waitUntil: 10 }),
     ];
-    const waiters = calls.map((call) => queue.add(call));
+    const waiters = calls.map((call) => queue.addCall(call));
     const order: number[] = [];
     while (queue.size > 0) {
       const index = waiters.findIndex((waiter) => queue.isFirst(waiter));
@@ -44,8 +44,8 @@
   /** Guards against a first call that sleeps to the end of its wait while an endpoint is free. */
   it('wakes the call that becomes the first when another workspace exceeds its share', () => {
     const queue = new CapacityQueue(new ManualClock());
-    const a = queue.add(makeCall('a'));
-    const b = queue.add(makeCall('b'));
+    const a = queue.addCall(makeCall('a'));
+    const b = queue.addCall(makeCall('b'));
     const wake = vi.spyOn(b, 'wake');
     expect(queue.isFirst(a)).toBe(true);
     exceedShare(queue);
@@ -64,7 +64,7 @@
       queue.recordService(makeCall('b'));
       const looks: string[] = [];
       for (const name of ['a', 'b']) {
-        const waiter = queue.add(makeCall(name));
+        const waiter = queue.addCall(makeCall(name));
         const woken = queue.waitForTurn(waiter, 20).then(() => looks.push(name));
         queue.wakeFirst();
         await vi.advanceTimersByTimeAsync(0);
@@ -89,8 +89,8 @@
       const clock = new ManualClock();
       const queue = new CapacityQueue(clock);
       exceedShare(queue);
-      const a = queue.add(makeCall('a', { waitUntil: 90_000 }));
-      const b = queue.add(makeCall('b', { waitUntil: 100_000 }));
+      const a = queue.addCall(makeCall('a', { waitUntil: 90_000 }));
+      const b = queue.addCall(makeCall('b', { waitUntil: 100_000 }));
       const wake = vi.spyOn(a, 'wake');
       expect(queue.isFirst(b)).toBe(true);
       const turn = queue.waitForTurn(b, 20);
@@ -107,7 +107,9 @@
   /** Guards against a queue that keeps calls after they have left. */
   it('wakes the next call when the first leaves, and only then', () => {
     const queue = new CapacityQueue(new ManualClock());
-    const [a, b, c] = [makeCall('a'), makeCall('b'), makeCall('c')].map((call) => queue.add(call));
+    const [a, b, c] = [makeCall('a'), makeCall('b'), makeCall('c')].map((call) =>
+      queue.addCall(call),
+    );
     if (!a || !b || !c) throw new RangeError('three calls wait');
     const wake = vi.spyOn(b, 'wake');
     queue.remove(c);
