--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -1,3 +1,4 @@
+import type { WaitEstimate, WorkspaceDemand } from '@dotterelpass/fairness';
 import type { Cancellation } from '@dotterelpass/proxy';
 import type { Clock, ServiceId } from '@dotterelpass/values';
 import type { Workspace } from '@dotterelpass/workspaces';
@@ -36,19 +37,34 @@
   readonly notBefore: number;
 }
 
-/** Result of the admission of a call; undefined when no endpoint is reachable. */
-export type Admission = Pick | NotBefore | 'overload' | undefined;
+/** No endpoint can take the call in time. */
+export interface Overload {
+  /** State of the queue when this was decided. */
+  readonly wait: WaitEstimate;
+}
+
+/**
+ * Result of the admission of a call; undefined when no endpoint is reachable, `overload` when a call
+ * that may not wait would have to.
+ */
+export type Admission = Pick | NotBefore | Overload | 'overload' | undefined;
 
 /** Whether a call was admitted. */
 export function isPick(admission: Admission): admission is Pick {
   return typeof admission === 'object' && 'endpoint' in admission;
 }
 
+/** Whether a call was refused for lack of capacity. */
+export function isOverload(admission: Admission): admission is Overload | 'overload' {
+  return admission === 'overload' || (typeof admission === 'object' && 'wait' in admission);
+}
+
 /** The parts of a call on which its admission depends. */
 export interface AdmissionRequest {
   readonly service: ServiceId;
-  readonly route: Route;
+  /** The workspace that the call counts for; undefined when the configuration asks for no keys. */
   readonly workspace?: Workspace | undefined;
+  readonly route: Route;
   readonly isUrgent: boolean;
   /** Monotonic time at which the target latency ends, in milliseconds. */
   readonly targetDeadlineAt: number;
@@ -86,6 +102,20 @@
     return this.#queues.get(service)?.size ?? 0;
   }
 
+  /** @returns The waiting calls of a service by workspace. */
+  listDemand(service: ServiceId): readonly WorkspaceDemand[] {
+    return this.#queues.get(service)?.listDemand() ?? [];
+  }
+
+  /** Records a hedged request, which needs no admission. */
+  recordHedge(call: AdmissionRequest): void {
+    this.#getOrCreateQueue(call.service).recordService({
+      workspace: call.workspace?.name,
+      ratePerSecond: call.workspace?.ratePerSecond,
+      costMs: this.#estimateCostMs(call),
+    });
+  }
+
   /** Lets the first waiting call of a service look for an endpoint at once. */
   notifyCapacity(service: ServiceId): void {
     this.#queues.get(service)?.wakeFirst();
@@ -108,13 +138,23 @@
     const waitingCall = this.#buildWaitingCall(call);
     if (!queue.hasPrecedence(waitingCall)) {
       const pick = await this.#pick(call, records, false);
-      if (pick && this.#canStart(call, pick, waitingCall.isLate)) return pick;
+      if (pick && this.#canStart(call, pick, waitingCall.isLate)) {
+        // A call that goes before this one may have begun to wait while the endpoints were probed.
+        if (!queue.hasPrecedence(waitingCall)) {
+          queue.recordService(waitingCall);
+          return pick;
+        }
+        queue.wakeFirst();
+      }
       if (!pick) {
         const block = this.#findBlock(call, records);
         if (!block || block.notBefore > waitingCall.waitUntil) return block;
       }
     }
-    return mayWait ? this.#waitForCapacity(call, records, queue, waitingCall) : 'overload';
+    if (!mayWait) return 'overload';
+    const refusal = queue.findRefusal(waitingCall);
+    if (refusal) return { wait: refusal };
+    return this.#waitForCapacity(call, records, queue, waitingCall);
   }
 
   async #waitForCapacity(
@@ -126,7 +166,7 @@
     const { clock } = this.#options;
     const { cancellation } = call.incoming;
     const localUntil = clock.now() + localWaitShare * call.route.targetLatencyMs;
-    const waiter = queue.add(waitingCall);
+    const waiter = queue.addCall(waitingCall);
     const wake = () => waiter.wake();
     cancellation.addListener(wake);
     try {
@@ -136,14 +176,23 @@
         const isTimeUp = now >= waitingCall.waitUntil;
         if (cancellation.aborted) return undefined;
         if (!isTimeUp && !queue.isFirst(waiter)) continue;
+        if (isTimeUp && queue.hasExcess(waitingCall)) {
+          return { wait: queue.estimateWait(waitingCall) };
+        }
         const pick = await this.#pick(call, records, isTimeUp || now >= localUntil);
         if (!pick) {
           const block = this.#findBlock(call, records);
           if (!block || isTimeUp || block.notBefore > waitingCall.waitUntil) return block;
           continue;
         }
-        if (this.#canStart(call, pick, isTimeUp || waitingCall.isLate)) return pick;
-        if (isTimeUp) return this.#mayQueueAtEndpoint(call, pick) ? pick : 'overload';
+        const canStart = this.#canStart(call, pick, isTimeUp || waitingCall.isLate);
+        const mayQueue = isTimeUp && !queue.isAboveShare(waitingCall);
+        if (canStart || (mayQueue && this.#mayQueueAtEndpoint(call, pick))) {
+          // Recorded before the call leaves the queue, so that the next one is chosen accordingly.
+          queue.recordService(waitingCall);
+          return pick;
+        }
+        if (isTimeUp) return { wait: queue.estimateWait(waitingCall) };
       }
     } finally {
       cancellation.removeListener(wake);
@@ -191,15 +240,22 @@
     return this.#options.clock.now() + expectedMs <= call.targetDeadlineAt;
   }
 
+  #estimateCostMs({ route, service }: AdmissionRequest): number {
+    const { latency } = this.#options;
+    return latency.estimateMs(route) * latency.getSlowdown(service);
+  }
+
   #buildWaitingCall(call: AdmissionRequest): WaitingCall {
-    const { route, service, targetDeadlineAt } = call;
-    const { clock, latency } = this.#options;
-    const now = clock.now();
-    const busyMs = latency.estimateMs(route) * latency.getSlowdown(service) * busyFactor;
+    const { route, workspace, targetDeadlineAt } = call;
+    const now = this.#options.clock.now();
+    const costMs = this.#estimateCostMs(call);
+    const busyMs = costMs * busyFactor;
     const latestStartAt = targetDeadlineAt - latestStartFactor * busyMs;
     const isLate = latestStartAt <= now;
     const waitUntil = isLate ? now + lateWaitShare * route.targetLatencyMs : latestStartAt;
-    return { priority: getCallPriority(call), isLate, waitUntil };
+    const priority = getCallPriority(call);
+    const { name, ratePerSecond } = workspace ?? {};
+    return { workspace: name, ratePerSecond, priority, isLate, waitUntil, costMs };
   }
 
   #calculatePollIntervalMs({ route }: AdmissionRequest): number {
--- a/packages/gateway/src/capacity.ts
+++ b/packages/gateway/src/capacity.ts
@@ -1,14 +1,9 @@
+import { FairQueue } from '@dotterelpass/fairness';
+import type { FairCall, ServedCall } from '@dotterelpass/fairness';
 import type { Clock } from '@dotterelpass/values';
 
 /** A call that waits for an endpoint with spare capacity. */
-export interface WaitingCall {
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Whether the call can no longer be answered within its target latency. */
-  readonly isLate: boolean;
-  /** Monotonic time until which the call can wait, in milliseconds. */
-  readonly waitUntil: number;
-}
+export type WaitingCall = FairCall;
 
 /** Position of a call in a queue. */
 export class Waiter {
@@ -43,50 +38,48 @@
  * first one looks for an endpoint, so that urgent calls are not overtaken and the number of probes
  * does not grow with the number of waiting calls.
  */
-export class CapacityQueue {
+export class CapacityQueue extends FairQueue<Waiter> {
   readonly #clock: Clock;
 
-  /** In the order in which the calls are sent. */
-  readonly #waiters: Waiter[] = [];
-
   constructor(clock: Clock) {
+    super(clock);
     this.#clock = clock;
   }
 
-  get size(): number {
-    return this.#waiters.length;
-  }
-
-  /** Whether a call that is already waiting is sent before this one. */
-  hasPrecedence(call: WaitingCall): boolean {
-    const [first] = this.#waiters;
-    return first !== undefined && comparePrecedence(first.call, call) <= 0;
-  }
-
   /** Whether this call is the next one to be sent. */
   isFirst(waiter: Waiter): boolean {
-    return this.#waiters[0] === waiter;
+    return this.findFirst() === waiter;
   }
 
   /** @returns The position of the added call; it must be removed by `remove`. */
-  add(call: WaitingCall): Waiter {
+  addCall(call: WaitingCall): Waiter {
     const waiter = new Waiter(call);
-    const index = this.#waiters.findIndex((other) => comparePrecedence(call, other.call) < 0);
-    this.#waiters.splice(index < 0 ? this.#waiters.length : index, 0, waiter);
+    this.add(waiter);
     return waiter;
   }
 
   /** Removes a call, and lets the call that is now the first look for an endpoint at once. */
-  remove(waiter: Waiter): void {
-    const index = this.#waiters.indexOf(waiter);
-    if (index < 0) return;
-    this.#waiters.splice(index, 1);
-    if (index === 0) this.wakeFirst();
+  override remove(waiter: Waiter): boolean {
+    const isFirst = this.isFirst(waiter);
+    const isRemoved = super.remove(waiter);
+    if (isFirst) this.wakeFirst();
+    return isRemoved;
+  }
+
+  /**
+   * Records a request that is sent for a call, and wakes the call that is now the first if it was
+   * not the first before: it sleeps until the end of its wait.
+   */
+  override recordService(call: ServedCall): void {
+    const first = this.findFirst();
+    super.recordService(call);
+    const next = this.findFirst();
+    if (next !== first) next?.wake();
   }
 
   /** Lets the first call look for an endpoint at once because one may have spare capacity. */
   wakeFirst(): void {
-    this.#waiters[0]?.wake();
+    this.findFirst()?.wake();
   }
 
   /**
@@ -97,13 +90,9 @@
    */
   async waitForTurn(waiter: Waiter, pollIntervalMs: number): Promise<void> {
     const remainingMs = waiter.call.waitUntil - this.#clock.now();
-    await waiter.sleep(this.isFirst(waiter) ? Math.min(pollIntervalMs, remainingMs) : remainingMs);
+    const isFirst = this.isFirst(waiter);
+    await waiter.sleep(isFirst ? Math.min(pollIntervalMs, remainingMs) : remainingMs);
+    // Shares change with time alone, and the new first call still sleeps to the end of its wait.
+    if (isFirst && !this.isFirst(waiter)) this.wakeFirst();
   }
 }
-
-/** Orders by priority; calls that can still meet their target first; then by the end of the wait. */
-function comparePrecedence(a: WaitingCall, b: WaitingCall): number {
-  if (a.priority !== b.priority) return a.priority - b.priority;
-  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
-  return a.waitUntil - b.waitUntil;
-}
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,7 +1,7 @@
 import { isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
 import type { FailureDomain, ServiceId, Verdict } from '@dotterelpass/values';
-import { isPick } from './admission.js';
+import { isOverload, isPick } from './admission.js';
 import type { Admission, AdmissionOptions, CallAdmission } from './admission.js';
 import type { BackpressureRecorder } from './backpressure.js';
 import { createCutFailure, readResponseBody } from './body.js';
@@ -192,6 +192,7 @@
       this.#takeToken(call, secondPick) ?? (await this.#waitForToken(call, secondPick));
     if (!secondToken) return first;
     this.#options.retries.recordAttempt(call, 'hedge');
+    this.#options.admission.recordHedge(call);
     const secondCancellation = incoming.cancellation.makeChild();
     const second = this.#sendAttempt(call, secondPick, secondToken, records, secondCancellation);
     return selectResult(
@@ -361,8 +362,8 @@
 }
 
 function getBlockReason(admission: Exclude<Admission, Pick>): RetryBlock {
-  if (typeof admission === 'object') return 'backpressure';
-  return admission ?? 'no-endpoint';
+  if (isOverload(admission)) return 'overload';
+  return admission ? 'backpressure' : 'no-endpoint';
 }
 
 function createUnsentFailure(
@@ -376,7 +377,7 @@
     const message = `all endpoints of service ${service} are in evacuated failure domains: ${domains}`;
     return { kind: 'failed', verdict, reason: 'evacuated', message };
   }
-  if (typeof pick === 'object') {
+  if (pick && !isOverload(pick)) {
     return {
       kind: 'failed',
       verdict,
@@ -384,12 +385,13 @@
       message: `all endpoints of service ${service} ask callers to wait or are warming up`,
     };
   }
-  return pick === 'overload'
+  return pick
     ? {
         kind: 'failed',
         verdict,
         reason: 'overload',
         message: `service ${service} is overloaded: the call would miss its target latency`,
+        ...(pick === 'overload' ? {} : { wait: pick.wait }),
       }
     : {
         kind: 'failed',
