Move the discovery of the other instances into a package of its own

fleet.ts, bans.ts, lease.ts, peer.ts and reporter.ts are now the package fleet, with their test. The files are unchanged; fleet imports only store, telemetry, values and neverthrow. In docs/design.md it is in layer 3, so gateway is now in layer 4 and platform/ in layer 5.

The type check, the linter and the format check pass.

--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,3 @@
+export { Fleet } from './fleet.js';
+export type { FleetUpdate } from './fleet.js';
+export type { Peer } from './peer.js';
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -1,6 +1,8 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Fleet } from '@dotterelpass/fleet';
+import type { Peer } from '@dotterelpass/fleet';
 import type { KeyValueStore } from '@dotterelpass/store';
 import { countDroppedLines } from '@dotterelpass/telemetry';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
@@ -8,8 +10,6 @@
 import type { HeaderCodec } from './codec.js';
 import { StoreReplica } from './replica.js';
 import type { StoreSchema } from './replica.js';
-import { Fleet } from './fleet.js';
-import type { Peer } from './peer.js';
 import { Gateway } from './gateway.js';
 import { FleetQuota } from './limiter.js';
 import type { FleetLimits } from './gateway.js';
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -1,14 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { Fleet, FleetUpdate, Peer } from '@dotterelpass/fleet';
 import { PeerTransport } from '@dotterelpass/peers';
 import type { MessageBody, MessageHandler, PeerError } from '@dotterelpass/peers';
 import type { Logger } from '@dotterelpass/telemetry';
 import type { Clock, FailureDomain, Incarnation, InstanceId, Random } from '@dotterelpass/values';
 import type { ReplicaProgress, ReplicaUpdate, StoreReplica } from './replica.js';
 import type { PeerMessenger } from './limiter.js';
-import type { Fleet, FleetUpdate } from './fleet.js';
-import type { Peer } from './peer.js';
 import type { FleetAnswer, InstanceSummary } from './summary.js';
 
 /** Time for which the store must fail before fallback peers are asked. */
