Move the positions of a store to the values

docs/design.md says that a package imports only from lower layers, but evacuation imported StorePosition and comparePositions from store, which is in the same layer.

--- a/packages/evacuation/src/state.ts
+++ b/packages/evacuation/src/state.ts
@@ -1,6 +1,5 @@
-import { beforeFirstPosition, comparePositions } from '@dotterelpass/store';
-import type { StorePosition } from '@dotterelpass/store';
-import type { FailureDomain } from '@dotterelpass/values';
+import { beforeFirstPosition, comparePositions } from '@dotterelpass/values';
+import type { FailureDomain, StorePosition } from '@dotterelpass/values';
 
 /** Maximum length of the name of a failure domain, which is in logs and in messages to peers. */
 const maxDomainChars = 256;
--- a/packages/evacuation/test/state.test.ts
+++ b/packages/evacuation/test/state.test.ts
@@ -1,5 +1,4 @@
-import type { StorePosition } from '@dotterelpass/store';
-import type { FailureDomain } from '@dotterelpass/values';
+import type { FailureDomain, StorePosition } from '@dotterelpass/values';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import {
--- a/packages/gateway/src/changes.ts
+++ b/packages/gateway/src/changes.ts
@@ -1,5 +1,6 @@
-import { beforeFirstPosition, comparePositions } from '@dotterelpass/store';
-import type { StoreItem, StoreListing, StorePosition } from '@dotterelpass/store';
+import type { StoreItem, StoreListing } from '@dotterelpass/store';
+import { beforeFirstPosition, comparePositions } from '@dotterelpass/values';
+import type { StorePosition } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 
 /** Maximum number of tombstones of removed registrations. */
--- a/packages/gateway/src/operator-keys.ts
+++ b/packages/gateway/src/operator-keys.ts
@@ -10,15 +10,9 @@
 } from '@dotterelpass/evacuation';
 import type { EvacuatedDomain, EvacuationEvent, EvacuationState } from '@dotterelpass/evacuation';
 import { Backoff } from '@dotterelpass/store';
-import type {
-  KeyValueStore,
-  PlatformError,
-  StoreItem,
-  StorePosition,
-  WatchResult,
-} from '@dotterelpass/store';
+import type { KeyValueStore, PlatformError, StoreItem, WatchResult } from '@dotterelpass/store';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
-import type { Clock, FailureDomain, Random } from '@dotterelpass/values';
+import type { Clock, FailureDomain, Random, StorePosition } from '@dotterelpass/values';
 import { ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { GatewayConfig } from './catalog.js';
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -1,9 +1,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
-import { Backoff, comparePositions } from '@dotterelpass/store';
-import type { KeyValueStore, PlatformError, StoreItem, StorePosition } from '@dotterelpass/store';
+import { Backoff } from '@dotterelpass/store';
+import type { KeyValueStore, PlatformError, StoreItem } from '@dotterelpass/store';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
-import type { Clock, Random } from '@dotterelpass/values';
+import { comparePositions } from '@dotterelpass/values';
+import type { Clock, Random, StorePosition } from '@dotterelpass/values';
 import type { Registration } from './catalog.js';
 import { ChangeLog } from './changes.js';
 import type { RegistrationChanges } from './changes.js';
--- a/packages/gateway/test/operator-keys.test.ts
+++ b/packages/gateway/test/operator-keys.test.ts
@@ -1,8 +1,8 @@
-import { beforeFirstPosition, KeyValueStore } from '@dotterelpass/store';
-import type { StoreItem, StorePosition, WatchResult } from '@dotterelpass/store';
+import { KeyValueStore } from '@dotterelpass/store';
+import type { StoreItem, WatchResult } from '@dotterelpass/store';
 import { Metrics, createLogger, setLogDestination } from '@dotterelpass/telemetry';
-import { makeRandom, systemClock } from '@dotterelpass/values';
-import type { FailureDomain, ServiceId } from '@dotterelpass/values';
+import { beforeFirstPosition, makeRandom, systemClock } from '@dotterelpass/values';
+import type { FailureDomain, ServiceId, StorePosition } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { GatewayConfig } from '../src/catalog.js';
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'neverthrow';
-import type { StorePosition } from './position.js';
+import type { StorePosition } from '@dotterelpass/values';
 import type { PlatformError } from './transport.js';
 
 /** A key and its value. */
--- a/packages/values/src/index.ts
+++ b/packages/values/src/index.ts
@@ -7,3 +7,4 @@
 export * from './hash.js';
 export * from './service.js';
 export * from './status.js';
+export * from './position.js';
