--- a/packages/gateway/src/warmup.ts
+++ b/packages/gateway/src/warmup.ts
@@ -1,6 +1,7 @@
+import { makeEndpointKey } from '@dotterelpass/quota';
 import type { FleetLimiter, LimitSpec } from '@dotterelpass/quota';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
-import type { Clock, LimitKey, ServiceId } from '@dotterelpass/values';
+import type { Clock, ServiceId } from '@dotterelpass/values';
 import type { Endpoint } from './endpoint.js';
 
 /**
@@ -175,7 +176,7 @@
     const { id, service } = registration;
     const ratePerSecond = findRate(service);
     if (ratePerSecond === undefined) return freeToken;
-    const key = `endpoint:${id}` as LimitKey;
+    const key = makeEndpointKey(id);
     const limit: LimitSpec = { key, ratePerSecond, burst, version: limitVersion };
     const decision = await limiter.take(limit);
     if (decision.kind === 'denied') {
