--- a/review/standins-2/worker.js
+++ b/review/standins-2/worker.js
@@ -1,4 +1,4 @@
-/* global performance, setTimeout, setInterval, clearInterval, Buffer */
+/* global performance, setTimeout, clearTimeout, setInterval, clearInterval, Buffer */
 /** Stand-in of a worker: slots and a queue, ids, signatures, load reports, a heartbeat in the store. */
 import { createServer } from 'node:http';
 
@@ -23,7 +23,7 @@
 
   born = 0;
 
-  /** Requests that the worker has begun to run: `id`, `path`, `at` and `body` (bytes). */
+  /** Requests that the worker has begun to run: `id`, `path`, `at`, `bytes` and `endedAt`. */
   runs = [];
 
   /** All requests but liveness checks, as they arrive: `id`, `path`, `at`. */
@@ -34,7 +34,8 @@
   /**
    * @param store - The store in which it registers.
    * @param options - `id`, `service`, `zone`, `slots`, `queue`, `workMs` (number or function of the
-   * request), `onRun` (called before a request runs; true when it has dealt with it), `extra`.
+   * request), `onRun` (called before a request runs; true when it has dealt with it), `answer` (body of the answer
+   * to a request), `extra`.
    */
   constructor(store, options) {
     this.store = store;
@@ -143,17 +144,23 @@
       this.#runNext();
       return;
     }
-    const { id, workMs, onRun } = this.#options;
+    const { id, workMs, onRun, answer } = this.#options;
     const run = { id: attempt, path: request.url, at: performance.now(), bytes: body.length };
     run.tenant = request.headers['tenant-id'];
     this.runs.push(run);
     if (onRun?.(call, this)) return;
     this.#running += 1;
     const ms = typeof workMs === 'function' ? workMs(request) : workMs;
-    setTimeout(() => {
+    let timer;
+    const end = () => {
+      clearTimeout(timer);
+      if (run.endedAt !== undefined) return;
+      run.endedAt = performance.now();
       this.#running -= 1;
       this.#runNext();
-      if (response.destroyed) return;
+    };
+    timer = setTimeout(() => {
+      end();
       response
         .writeHead(200, {
           'Attempt-Id': attempt,
@@ -161,8 +168,10 @@
           'Instance-Id': id,
           'Upstream-Load': this.#load(),
         })
-        .end(`${id} has run ${attempt}`);
+        .end(answer?.(request) ?? `${id} has run ${attempt}`);
     }, ms);
+    // The request is dropped when its channel closes.
+    response.on('close', end);
   }
 
   #runNext() {
