--- a/review/standins-2/case.js
+++ b/review/standins-2/case.js
@@ -100,6 +100,10 @@
     record('the time limit of the script has passed');
     finish('notRun');
   }, limitMs).unref();
+  process.on('uncaughtException', (error) => {
+    record(`the case could not run: ${error.message}`);
+    finish('notRun');
+  });
   process.on('SIGTERM', () => finish('notRun'));
   process.on('SIGINT', () => finish('notRun'));
   try {
