Decide at its turn which response closes a connection

Cause: the head of a response was written when the response was complete, also while earlier ones were not sent yet. It said `Connection: close`, because no later request was there; one that came before its turn was handled all the same, and Node drops what stands behind that header. Records of the bytes show the header on the second of three responses. On related paths, requests were handled behind a response that was being sent in parts with that header, and behind a refused upload without `100 Continue`.

Change: `CallerResponse` holds a whole response back until its turn, and only the last response at its turn closes the connection. Requests behind a response that is known to close it are not handled. As Node now queues no waiting responses, it no longer stops reading behind 16 KB of them.

--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -12,6 +12,7 @@
 import { chooseRequestId } from './headers.js';
 import { refuse, formatRawResponse } from './refusal.js';
 import type { Refusal } from './refusal.js';
+import { CallerResponse } from './response.js';
 
 /** A call as received from its caller. */
 export interface IncomingCall {
@@ -90,7 +91,7 @@
 
 /** The HTTP server for callers. */
 export class CallerServer {
-  readonly #server: Server;
+  readonly #server: Server<typeof IncomingMessage, typeof CallerResponse>;
 
   readonly #handle: CallHandler;
 
@@ -132,6 +133,7 @@
     this.#onRefusal = onRefusal;
     this.#backlog = new ResponseBacklog(this.#limits.maxWaitingBytes);
     this.#server = createServer({
+      ServerResponse: CallerResponse,
       headersTimeout: this.#limits.headersTimeoutMs,
       // The time for a body is limited by the deadline of its call, which rules may set high.
       requestTimeout: 0,
@@ -146,7 +148,7 @@
     this.#server.on('connection', (socket) => this.#addConnection(socket));
     this.#server.on('request', (request, response) => this.#handleRequest(request, response));
     this.#server.on('checkContinue', (request, response) => this.#handleRequest(request, response));
-    this.#server.on('checkExpectation', (request, response: ServerResponse) => {
+    this.#server.on('checkExpectation', (request, response) => {
       const message = 'the only supported expectation is 100-continue';
       const refusal = { status: 417, verdict: 'not-run', message } as const;
       this.#refuseRequest(request, response, chooseRequestId(undefined), refusal);
@@ -202,7 +204,7 @@
   /** Makes the last response on each connection ask the caller to close the connection. */
   startDraining(): void {
     this.#isDraining = true;
-    this.#connections.forEach(({ lastResponse }) => clearKeepAlive(lastResponse));
+    this.#connections.forEach((connection) => connection.markLastResponse());
   }
 
   /**
@@ -244,7 +246,7 @@
     });
   }
 
-  #handleRequest(request: IncomingMessage, response: ServerResponse): void {
+  #handleRequest(request: IncomingMessage, response: CallerResponse): void {
     const { socket } = request;
     const connection = this.#connections.get(socket);
     if (!connection) return;
@@ -254,25 +256,17 @@
       return;
     }
     const callsAhead = connection.calls.size;
-    if (callsAhead >= this.#limits.maxPipelinedCalls || connection.discardedRequests > 0) {
+    if (callsAhead >= this.#limits.maxPipelinedCalls || connection.isLastRequestRead) {
       this.#discardRequest(socket, connection);
       return;
     }
-    // Node drops requests that are pipelined behind a response with `Connection: close`, so
-    // only the last response may have that header.
-    if (this.#isDraining) connection.calls.forEach((_signal, earlier) => allowKeepAlive(earlier));
     const cancellation = new Cancellation();
     const turn = new ResponseTurn(connection.backlog, () => this.#scheduleHeldCalls());
-    connection.calls.set(response, { cancellation, turn });
-    if (callsAhead === 0) turn.start();
+    connection.addCall(response, { cancellation, turn });
     this.#activeCalls += 1;
     response.on('finish', () => this.#finishCall(socket, response, connection));
-    if (this.#isDraining) response.shouldKeepAlive = false;
-    // Node closes the connection of a caller that got no `100 Continue`, because the next request
-    // could be read as the missing body.
-    const acceptBody = () => {
-      if (request.headers.expect !== undefined) response.writeContinue();
-    };
+    if (this.#isDraining) connection.markLastResponse();
+    const acceptBody = () => response.acceptBody();
     const id = chooseRequestId(request.headers['x-request-id']);
     const target = readTarget(request);
     if (target.isErr()) {
@@ -314,18 +308,23 @@
   }
 
   #discardRequest(socket: Socket, connection: CallerConnection): void {
-    clearKeepAlive(connection.lastResponse);
     connection.discardRequest();
     if (connection.discardedRequests > maxDiscardedRequests) socket.destroy();
   }
 
-  #finishCall(socket: Socket, response: ServerResponse, connection: CallerConnection): void {
+  #finishCall(socket: Socket, response: CallerResponse, connection: CallerConnection): void {
     if (!connection.calls.delete(response)) return;
     this.#activeCalls -= 1;
     const { req } = response;
     // Uses `socket` because `response.socket` is already null.
     if (!req.complete || req.readableLength > 0) this.#drainBody(socket, req);
-    connection.startNextTurn();
+    try {
+      connection.startNextTurn(this.#isDraining);
+    } catch {
+      // The held response of the next call cannot be written.
+      socket.destroy();
+      return;
+    }
     if (connection.heldCalls.length > 0) this.#startHeldCalls(connection);
     if (connection.calls.size > 0) return;
     if (connection.finalResponse !== undefined) socket.end(connection.finalResponse);
@@ -409,14 +408,6 @@
   }
 }
 
-function clearKeepAlive(response: ServerResponse | undefined): void {
-  if (response && !response.headersSent) response.shouldKeepAlive = false;
-}
-
-function allowKeepAlive(response: ServerResponse): void {
-  if (!response.headersSent) response.shouldKeepAlive = true;
-}
-
 function makeRefusal(error: NodeJS.ErrnoException): Refusal {
   const verdict = 'not-run';
   if (error.code === 'HPE_HEADER_OVERFLOW') {
--- a/packages/proxy/src/connection.ts
+++ b/packages/proxy/src/connection.ts
@@ -1,7 +1,7 @@
-import type { ServerResponse } from 'node:http';
 import { readAheadBytes, ResponseBacklog } from './backlog.js';
 import type { ResponseTurn } from './backlog.js';
 import type { Cancellation } from './cancellation.js';
+import type { CallerResponse } from './response.js';
 
 /** A call whose response is not complete. */
 export interface PendingCall {
@@ -21,7 +21,7 @@
   readonly maxHeaderBytes: number;
 
   /** Calls whose response is not complete, oldest first. */
-  readonly calls = new Map<ServerResponse, PendingCall>();
+  readonly calls = new Map<CallerResponse, PendingCall>();
 
   /** Those of `calls` that are not handled yet, oldest first. */
   readonly heldCalls: HeldCall[] = [];
@@ -55,10 +55,36 @@
   }
 
   /** The call whose response is sent last. */
-  get lastResponse(): ServerResponse | undefined {
+  get lastResponse(): CallerResponse | undefined {
     return [...this.calls.keys()].at(-1);
   }
 
+  /**
+   * Whether the response to an earlier request closes the connection. Further requests count as not
+   * read: their callers send them again.
+   */
+  get isLastRequestRead(): boolean {
+    return this.#discardedRequests > 0 || this.lastResponse?.closesConnection === true;
+  }
+
+  /** Adds a call; its response is held back until those to the calls before it have been sent. */
+  addCall(response: CallerResponse, call: PendingCall): void {
+    if (this.calls.size > 0) response.hold();
+    else call.turn.start();
+    this.calls.set(response, call);
+  }
+
+  /**
+   * Makes the last response close the connection, if its turn has come. Node drops the requests
+   * behind a response with `Connection: close`, so no other response may have that header.
+   */
+  markLastResponse(): void {
+    const last = this.lastResponse;
+    this.calls.forEach(({ turn }, response) => {
+      if (!response.headersSent && turn.hasCome) response.shouldKeepAlive = response !== last;
+    });
+  }
+
   /** @param response - Raw response with which the connection ends; it may be empty. */
   setFinalResponse(response: string): void {
     this.#finalResponse = response;
@@ -68,12 +94,21 @@
   discardRequest(): void {
     this.#discardedRequests += 1;
     this.#finalResponse ??= '';
+    this.markLastResponse();
   }
 
-  /** Starts the turn of the oldest call. */
-  startNextTurn(): void {
-    const [next] = this.calls.values();
-    next?.turn.start();
+  /**
+   * Starts the turn of the oldest call.
+   *
+   * @param isDraining - Whether the last response is to close the connection.
+   */
+  startNextTurn(isDraining: boolean): void {
+    const [next] = this.calls;
+    if (!next) return;
+    const [response, { turn }] = next;
+    turn.start();
+    if (isDraining || this.#discardedRequests > 0) this.markLastResponse();
+    response.release();
   }
 
   /** Handles held calls as far as the limits on waiting responses allow. */
