Pass on responses to HEAD that have no length

Callers saw: a HEAD request was answered 502 when its endpoint stated neither a length nor chunks, as Node's own server does for HEAD.

Cause: `hasWholeBody` took such a response for one whose body ends with its connection, and that had not ended. A response to HEAD has no body.

--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -255,6 +255,17 @@
   }
 }
 
+/**
+ * Returns the method of the request to which a response was received.
+ *
+ * @param response - Response to a request of this process.
+ */
+export function getRequestMethod(response: IncomingMessage): string | undefined {
+  // Node sets `req` on responses but does not declare it.
+  const { req } = response as { readonly req?: ClientRequest };
+  return req?.method;
+}
+
 /** Connections that have passed the check in `recordCleanEnd`. */
 const cleanlyEnded = new WeakSet<Socket>();
 
--- a/packages/proxy/src/forward.ts
+++ b/packages/proxy/src/forward.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ByteCollector } from '@dotterelpass/values';
-import { isEndedCleanly } from './agent.js';
+import { getRequestMethod, isEndedCleanly } from './agent.js';
 import { FramingMeter } from './framing.js';
 import { copyTrailers } from './headers.js';
 import { ChunkPacer } from './pace.js';
@@ -16,6 +16,7 @@
 export function hasWholeBody(response: IncomingMessage): boolean {
   const { headers, statusCode = 0, socket } = response;
   const hasFraming =
+    getRequestMethod(response) === 'HEAD' ||
     statusCode === 204 ||
     statusCode === 304 ||
     headers['content-length'] !== undefined ||
