Let a ban name the whole request, also with a long body

Cause: a body over 64 KiB is sent on while it comes in, and the fingerprint covered what had been read before. That depends on how the bytes arrive, and names no whole request. The logs show another fingerprint for each attempt in pieces, and the same for uploads at once, whatever their end.

Change: `RequestDigest` hashes the body of a streamed request while its reader reads it; the evidence of crashes and answers waits for its end. It begins with a name of the first 64 KiB. A body with the start of a banned one is read to its end before it is sent (`RequestScreen`), at most 1 MiB a body and 16 MiB in all; of others the endpoint gets the last piece only when the ban has been checked.

`entry` still names a long body by its first 64 KiB and its length.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type { WaitEstimate } from '@dotterelpass/fairness';
-import type { RequestBody, IncomingCall } from '@dotterelpass/proxy';
+import type { RequestBody, RequestDigest, IncomingCall } from '@dotterelpass/proxy';
 import type {
   ClassName,
   EndpointId,
@@ -39,8 +39,8 @@
   readonly targetDeadlineAt: number;
   /** Monotonic time by which the caller must get its response, in milliseconds. */
   readonly deadlineAt: number;
-  /** SHA-256 of method, path, query and body. */
-  readonly fingerprint: string;
+  /** Digest of method, host, path, query and body: the fingerprint of the request. */
+  readonly digest: RequestDigest;
 }
 
 /** One attempt, for the log. */
--- a/packages/gateway/src/crashes.ts
+++ b/packages/gateway/src/crashes.ts
@@ -60,6 +60,13 @@
     return this.#bans.findStatus(fingerprint) === 'banned';
   }
 
+  /** @returns Whether a banned request has a fingerprint that begins so. */
+  hasBan(start: string): boolean {
+    return this.#bans
+      .list()
+      .some(({ fingerprint, standing }) => standing === 'banned' && fingerprint.startsWith(start));
+  }
+
   /** Records a successful answer to a request. */
   recordAnswer(fingerprint: string): void {
     const answers = this.#answers.get(fingerprint) ?? 0;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -420,8 +420,12 @@
   async #checkCrash(call: Call, endpoint: Endpoint): Promise<void> {
     if (!(await endpoint.pool.isRefusingConnections())) return;
     endpoint.recordUnreachable();
-    const { fingerprint } = call;
     const incarnation = getIncarnation(endpoint.registration);
+    const fingerprint = await call.digest.wait();
+    if (fingerprint === undefined) {
+      this.#options.log.warn('endpoint-crashed', { incarnation, requestId: call.id });
+      return;
+    }
     const finding = this.#crashes.recordCrash(fingerprint, incarnation);
     const { log, onSuspect, onBan } = this.#options;
     log.warn('endpoint-crashed', { incarnation, requestId: call.id, fingerprint, finding });
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -1,6 +1,5 @@
-import { createHash, hash as hashOneShot } from 'node:crypto';
 import { copyEndToEndHeaders, forwardResponseBody, readBody, refuse } from '@dotterelpass/proxy';
-import type { RequestBody, IncomingCall, Refusal } from '@dotterelpass/proxy';
+import type { IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { LogFields } from '@dotterelpass/telemetry';
 import type { Random } from '@dotterelpass/values';
 import type { RejectionCause } from '@dotterelpass/workspaces';
@@ -21,6 +20,8 @@
 import type { LatencyEstimator } from './latency.js';
 import type { CallOutcome, CallRecorder, LoggedTiming } from './recorder.js';
 import type { RouteTable } from './routes.js';
+import { RequestScreen } from './screen.js';
+import type { ScreenedRequest } from './screen.js';
 
 /** `Retry-After` of a refusal while the instance has no configuration. */
 const noConfigRetryAfterMs = 300;
@@ -99,8 +100,11 @@
 export class CallHandler {
   readonly #options: CallHandlerOptions;
 
+  readonly #screen: RequestScreen;
+
   constructor(options: CallHandlerOptions) {
     this.#options = options;
+    this.#screen = new RequestScreen(options.crashes);
   }
 
   /**
@@ -198,9 +202,7 @@
     origin: CallOrigin,
     trace: CallTrace,
   ): Promise<CallOutcome> {
-    const { routes, sender, crashes, headerCodec } = this.#options;
     const { request, target } = incoming;
-    const { workspace, hidesCredentials } = origin;
     const remainingMs = origin.deadlineAt - performance.now();
     if (remainingMs <= 0) {
       const message = 'the deadline passed behind earlier calls of the connection';
@@ -214,17 +216,33 @@
       remainingMs,
       incoming.acceptBody,
     );
-    if (body.isErr()) {
-      const outcome = this.#respondWithRefusal(incoming, body.error, 'body');
-      return body.error.status === 408 ? { ...outcome, timedOutIn: 'request-body' } : outcome;
-    }
-    const method = request.method ?? '';
-    const fingerprint = hashRequest(method, target.host, target.pathAndQuery, body.value);
-    if (crashes.isBanned(fingerprint)) {
+    if (body.isErr()) return this.#refuseBody(incoming, body.error);
+    const leftMs = Math.max(minCallMs, origin.deadlineAt - performance.now());
+    const head = `${request.method ?? ''} ${target.host}${target.pathAndQuery}\n`;
+    const screened = await this.#screen.check(head, body.value, leftMs);
+    if (screened.isErr()) {
+      if (screened.error !== 'banned') return this.#refuseBody(incoming, screened.error);
       const message = 'request is banned because endpoints crashed while running it';
       const refusal = { status: 503, verdict: 'not-run', message } as const;
       return this.#respondWithRefusal(incoming, refusal, 'banned', banRetryAfterMs);
     }
+    try {
+      return await this.#sendScreened(incoming, id, route, origin, trace, screened.value);
+    } finally {
+      screened.value.release();
+    }
+  }
+
+  async #sendScreened(
+    incoming: IncomingCall,
+    id: Call['id'],
+    route: Route,
+    origin: CallOrigin,
+    trace: CallTrace,
+    { body, digest }: ScreenedRequest,
+  ): Promise<CallOutcome> {
+    const { routes, sender, headerCodec } = this.#options;
+    const { workspace, hidesCredentials } = origin;
     const service = routes.pickService(route);
     if (service === undefined) {
       const message = `route ${route.name} has no target with a positive weight`;
@@ -236,18 +254,23 @@
       ...origin,
       incoming,
       id,
-      method,
+      method: incoming.request.method ?? '',
       route,
       service,
       className: getCallClass({ route, workspace }),
       isUrgent: routes.isUrgent({ priority }, service),
       isDeferrable: routes.isDeferrable({ priority }, service),
-      body: hidesCredentials ? omitTrailers(body.value, headerCodec.credentialHeaders) : body.value,
-      fingerprint,
+      body: hidesCredentials ? omitTrailers(body, headerCodec.credentialHeaders) : body,
+      digest,
     };
     return this.#respondWithResult(call, await sender.sendCall(call, trace));
   }
 
+  #refuseBody(incoming: IncomingCall, refusal: Refusal): CallOutcome {
+    const outcome = this.#respondWithRefusal(incoming, refusal, 'body');
+    return refusal.status === 408 ? { ...outcome, timedOutIn: 'request-body' } : outcome;
+  }
+
   async #respondWithResult(call: Call, result: CallResult): Promise<CallOutcome> {
     const { retryBlock } = result;
     if (result.kind === 'failed') {
@@ -311,7 +334,7 @@
       this.#options.headerCodec.internalResponseHeaders,
     );
     const reason = status < 400 ? 'served' : 'endpoint-failed';
-    if (status < 400) this.#options.crashes.recordAnswer(call.fingerprint);
+    if (status < 400) void this.#recordAnswer(call);
     if (bufferedBody !== undefined) {
       const hasLength = upstreamResponse.headers['content-length'] !== undefined;
       const isBodiless = call.method === 'HEAD' || status === 204 || status === 304;
@@ -333,6 +356,11 @@
     return { status, verdict: 'ran', reason: `answer-${result}`, timedOutIn };
   }
 
+  async #recordAnswer({ digest }: Call): Promise<void> {
+    const fingerprint = digest.value ?? (await digest.wait());
+    if (fingerprint !== undefined) this.#options.crashes.recordAnswer(fingerprint);
+  }
+
   #respondWithRefusal(
     { response, turn, id }: IncomingCall,
     refusal: Refusal,
@@ -363,16 +391,3 @@
     this.#options.recorder.recordRefusal(refusal, incoming.request, details);
   }
 }
-
-/** Hashes the parts of a request that do not depend on its caller and its time. */
-function hashRequest(
-  method: string,
-  host: string,
-  pathAndQuery: string,
-  body: RequestBody,
-): string {
-  // The one-shot hash takes less than half the time of a hash object.
-  if (body.kind === 'none') return hashOneShot('sha256', `${method} ${host}${pathAndQuery}\n`);
-  const hash = createHash('sha256').update(`${method} ${host}${pathAndQuery}\n`);
-  return hash.update(body.kind === 'whole' ? body.bytes : body.head).digest('hex');
-}
--- /dev/null
+++ b/packages/gateway/src/screen.ts
@@ -0,0 +1,81 @@
+import { digestRequest, readFurther } from '@dotterelpass/proxy';
+import type { Refusal, RequestBody, RequestDigest, StreamedBody } from '@dotterelpass/proxy';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { CrashTable } from './crashes.js';
+
+/**
+ * Largest body that is kept until its ban has been checked, in bytes. Of a longer one the endpoint
+ * gets all but the last bytes before the check.
+ */
+const maxCheckedBytes = 1024 * 1024;
+
+/** Maximum bytes of all bodies that are kept for a check. */
+const maxKeptBytes = 16 * 1024 * 1024;
+
+/** A request that is not banned, as far as its body has come in. */
+export interface ScreenedRequest {
+  readonly body: RequestBody;
+  readonly digest: RequestDigest;
+  /** Ends the use of the memory for the body. */
+  release(): void;
+}
+
+/**
+ * Keeps banned requests from endpoints. A ban names one whole request, but a long body is sent on
+ * while it comes in. So it is read to its end first if a banned request has the same start.
+ */
+export class RequestScreen {
+  readonly #crashes: CrashTable;
+
+  #keptBytes = 0;
+
+  /** @param crashes - Knows the banned requests. */
+  constructor(crashes: CrashTable) {
+    this.#crashes = crashes;
+  }
+
+  /**
+   * Checks a request.
+   *
+   * @param head - Method, host, path and query.
+   * @param body - Its body.
+   * @param timeoutMs - Time limit for reading the body, in milliseconds.
+   * @returns The request, with a body that may have been read further; `banned`; or the refusal of a
+   * body that cannot be read, with the verdict `not-run`.
+   */
+  async check(
+    head: string,
+    body: RequestBody,
+    timeoutMs: number,
+  ): Promise<Result<ScreenedRequest, Refusal | 'banned'>> {
+    const digest = digestRequest(head, body);
+    const isCandidate = digest.start !== undefined && this.#crashes.hasBan(digest.start);
+    if (body.kind === 'stream' && isCandidate) return this.#checkStream(body, digest, timeoutMs);
+    if (digest.value !== undefined && this.#crashes.isBanned(digest.value)) return err('banned');
+    return ok({ body, digest, release: () => undefined });
+  }
+
+  async #checkStream(
+    body: StreamedBody,
+    digest: RequestDigest,
+    timeoutMs: number,
+  ): Promise<Result<ScreenedRequest, Refusal | 'banned'>> {
+    const mayComplete = () => digest.value !== undefined && !this.#crashes.isBanned(digest.value);
+    const bytes = Math.min(body.length ?? maxCheckedBytes, maxCheckedBytes);
+    if (this.#keptBytes + bytes > maxKeptBytes) {
+      return ok({ body: { ...body, mayComplete }, digest, release: () => undefined });
+    }
+    this.#keptBytes += bytes;
+    const release = () => {
+      this.#keptBytes -= bytes;
+    };
+    const read = await readFurther(body, maxCheckedBytes, timeoutMs);
+    if (read.isOk() && read.value.kind === 'stream') {
+      return ok({ body: { ...read.value, mayComplete }, digest, release });
+    }
+    if (read.isOk() && mayComplete()) return ok({ body: read.value, digest, release });
+    release();
+    return err(read.isErr() ? read.error : 'banned');
+  }
+}
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -27,6 +27,11 @@
   readonly maxBytes: number;
   /** Lower-case names of trailers that are not forwarded. */
   readonly omittedTrailers?: ReadonlySet<string> | undefined;
+  /**
+   * Decides, when the whole body has come in, whether the endpoint gets its last bytes, without which
+   * it cannot take the request for complete. Without this function it does.
+   */
+  readonly mayComplete?: () => boolean;
 }
 
 /** Error of a request body that cannot be forwarded because of the caller. */
@@ -62,11 +67,34 @@
   const length = declared === undefined ? undefined : Number(declared);
   if (length !== undefined && length > maxBytes) return err(makeSizeRefusal(maxBytes));
   onAccept();
+  const options = { maxBytes, length, timeoutMs, maxKeptBytes: maxBufferedBytes };
   return new Promise((resolve) => {
-    new BodyReader(request, { maxBytes, length, timeoutMs }, resolve).start();
+    new BodyReader(request, options, resolve).start();
   });
 }
 
+/**
+ * Reads on in a streamed body until it is complete or exceeds a larger buffer.
+ *
+ * @param body - The body, of which no one else has read any more.
+ * @param maxKeptBytes - Size of the buffer.
+ * @param timeoutMs - Time limit in milliseconds.
+ * @returns The whole body, the same body with a longer head, or a refusal with the verdict `not-run`.
+ */
+export async function readFurther(
+  body: StreamedBody,
+  maxKeptBytes: number,
+  timeoutMs: number,
+): Promise<Result<RequestBody, Refusal>> {
+  const { rest, head, maxBytes, length } = body;
+  if (rest.destroyed && !rest.readableEnded) return err(makeDisconnectRefusal());
+  const options = { maxBytes, length, timeoutMs, maxKeptBytes, head };
+  const result = await new Promise<Result<RequestBody, Refusal>>((resolve) => {
+    new BodyReader(rest, options, resolve).start();
+  });
+  return result.map((read) => (read.kind === 'stream' ? { ...body, head: read.head } : read));
+}
+
 /**
  * Makes the headers that determine the length of a body.
  *
@@ -90,13 +118,22 @@
   return { status: 413, verdict: 'not-run', message };
 }
 
+function makeDisconnectRefusal(): Refusal {
+  const message = 'the caller disconnected before the body was complete';
+  return { status: 400, verdict: 'not-run', message };
+}
+
 interface BodyReaderOptions {
   readonly maxBytes: number;
   readonly length: number | undefined;
   readonly timeoutMs: number;
+  /** Size beyond which the rest of the body is left to another reader. */
+  readonly maxKeptBytes: number;
+  /** Bytes of the body that were read before. */
+  readonly head?: Buffer;
 }
 
-/** Reads a body until it is complete or exceeds `maxBufferedBytes`. */
+/** Reads a body until it is complete or exceeds `maxKeptBytes`. */
 class BodyReader {
   readonly #request: IncomingMessage;
 
@@ -119,21 +156,24 @@
   }
 
   start(): void {
-    const { timeoutMs } = this.#options;
+    const { timeoutMs, head } = this.#options;
+    if (head) this.#bytes.add(head);
     this.#timer = setTimeout(
       () => this.#refuse(408, `the body did not arrive within ${Math.round(timeoutMs)} ms`),
       timeoutMs,
     );
     this.#request.on('data', this.#handleData).on('end', this.#handleEnd);
     this.#request.on('close', this.#handleClose).on('error', this.#handleError);
+    // An earlier reader has paused it.
+    if (head) this.#request.resume();
   }
 
   readonly #handleData = (chunk: Buffer) => {
-    const { maxBytes, length } = this.#options;
+    const { maxBytes, length, maxKeptBytes } = this.#options;
     this.#bytes.add(chunk);
     const { size } = this.#bytes;
     if (size > maxBytes) this.#finish(err(makeSizeRefusal(maxBytes)));
-    else if (size > maxBufferedBytes) {
+    else if (size > maxKeptBytes) {
       this.#request.pause();
       const head = this.#bytes.toBuffer();
       this.#finish(ok({ kind: 'stream', head, rest: this.#request, length, maxBytes }));
@@ -146,8 +186,7 @@
     this.#finish(ok({ kind: 'whole', bytes, trailers }));
   };
 
-  readonly #handleClose = () =>
-    this.#refuse(400, 'the caller disconnected before the body was complete');
+  readonly #handleClose = () => this.#finish(err(makeDisconnectRefusal()));
 
   readonly #handleError = (error: Error) => this.#refuse(400, error.message);
 
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,6 +1,7 @@
 export { isEndedCleanly } from './agent.js';
 export * from './backlog.js';
 export * from './body.js';
+export { digestRequest, RequestDigest } from './digest.js';
 export * from './caller.js';
 export * from './cancellation.js';
 export * from './forward.js';
--- a/packages/proxy/src/upload.ts
+++ b/packages/proxy/src/upload.ts
@@ -36,6 +36,9 @@
 
   #size = 0;
 
+  /** The last bytes that have come in, if the body may be left incomplete. */
+  #withheld: Buffer | undefined;
+
   #hasEnded = false;
 
   /**
@@ -70,16 +73,28 @@
     const { maxBytes } = this.#body;
     this.#size += chunk.length;
     if (this.#size > maxBytes) this.#abort(413, makeSizeRefusal(maxBytes).message);
-    else if (!this.#outgoing.write(chunk)) this.#rest.pause();
+    else if (!this.#write(chunk)) this.#rest.pause();
   };
 
+  #write(chunk: Buffer): boolean {
+    if (!this.#body.mayComplete) return this.#outgoing.write(chunk);
+    const previous = this.#withheld;
+    this.#withheld = chunk;
+    return previous === undefined || this.#outgoing.write(previous);
+  }
+
   readonly #handleDrain = () => {
     this.#rest.resume();
   };
 
   readonly #handleEnd = () => {
+    if (this.#body.mayComplete?.() === false) {
+      this.#abort(502, 'the request is banned because endpoints crashed while running it');
+      return;
+    }
     this.#hasEnded = true;
     this.#stop();
+    if (this.#withheld) this.#outgoing.write(this.#withheld);
     const trailers = copyTrailers(this.#rest.rawTrailers, this.#body.omittedTrailers);
     if (trailers.length > 0) this.#outgoing.addTrailers(trailers);
     this.#outgoing.end();
