Bound the memory of all answers together, and end unread ones

Report: an endpoint's bytes without end took the memory of an instance, and with it the calls of others. It can happen here: 1,500 callers that read nothing of endless signed answers took one process from 59 MB to 1,986 MB (machines have 483 to 870 MB), and 1,705 MB were still in use after the deadlines.

Cause: an answer is buffered up to 1 MiB, without a bound for all answers, and a complete response stays in memory while its caller is connected, read or not. Peaks grow with the number of callers.

Change: buffered answers keep 48 MiB together until they have been read; others are sent on as they come in. A connection is closed whose caller takes nothing of a complete response for the idle time; Node's socket timeout sees any progress of a write.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -12,8 +12,8 @@
 export type ResponseBodyResult =
   | { readonly kind: 'whole'; readonly bytes: Buffer }
   /**
-   * The body exceeds the buffer limit, or the limit on responses that wait for their turn. What was
-   * read has been given back to the stream, which is paused.
+   * The body exceeds the buffer limit, or one of the limits on all responses. What was read has been
+   * given back to the stream, which is paused.
    */
   | { readonly kind: 'large' }
   | {
@@ -30,14 +30,14 @@
  *
  * @param response - The response; its body is read from the start.
  * @param timeoutMs - Timeout for the complete body, in milliseconds.
- * @param turn - Turn of the response to the caller, which limits what is buffered before it comes.
+ * @param turn - Turn of the response to the caller, which limits what is buffered.
  * @returns The body, or the reason why it is not available. Unless the body is `large`, the
  * connection has been returned to the pool or closed.
  */
 export async function readResponseBody(
   response: IncomingMessage,
   timeoutMs: number,
-  turn?: ResponseTurn,
+  turn: Pick<ResponseTurn, 'keep'>,
 ): Promise<ResponseBodyResult> {
   if (response.destroyed && !response.complete) {
     const message = 'connection closed before the response body was read';
@@ -76,12 +76,15 @@
       if (!response.complete) fail('connection closed before the end of the response body');
     };
     const handleData = (chunk: Buffer) => {
-      bytes.add(chunk);
-      if (bytes.size <= maxBufferedBytes && (!turn || turn.reserve(chunk.length))) return;
-      // The length is not known before, without a Content-Length header.
+      // Without a Content-Length header, the length is not known before.
+      if (bytes.size + chunk.length <= maxBufferedBytes && turn.keep(chunk.length)) {
+        bytes.add(chunk);
+        return;
+      }
       stop();
       response.off('data', handleData).off('end', handleEnd).off('close', handleClose).pause();
-      response.unshift(bytes.toBuffer());
+      response.unshift(chunk);
+      if (bytes.size > 0) response.unshift(bytes.toBuffer());
       resolve({ kind: 'large' });
     };
     response.on('data', handleData).on('end', handleEnd).on('close', handleClose);
@@ -113,7 +116,8 @@
     const message = 'the deadline passed behind earlier calls of the connection';
     return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'earlier-calls', message };
   }
-  const body = await readResponseBody(response, Math.max(1, deadlineAt - performance.now()));
+  const leftMs = Math.max(1, deadlineAt - performance.now());
+  const body = await readResponseBody(response, leftMs, incoming.turn);
   if (body.kind === 'large') return answer;
   if (body.kind === 'whole') {
     finish('answered');
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -1,4 +1,10 @@
-import { copyEndToEndHeaders, forwardResponseBody, readBody, refuse } from '@dotterelpass/proxy';
+import {
+  copyEndToEndHeaders,
+  forwardResponseBody,
+  readBody,
+  refuse,
+  StreamTable,
+} from '@dotterelpass/proxy';
 import type { IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { LogFields } from '@dotterelpass/telemetry';
 import type { Random } from '@dotterelpass/values';
@@ -102,6 +108,8 @@
 
   readonly #screen: RequestScreen;
 
+  readonly #streams = new StreamTable();
+
   constructor(options: CallHandlerOptions) {
     this.#options = options;
     this.#screen = new RequestScreen(options.crashes);
@@ -127,6 +135,12 @@
       );
       return;
     }
+    if (this.#streams.isFull) {
+      const message = 'too many callers are still reading their responses';
+      const refusal = { status: 503, verdict: 'not-run', message } as const;
+      this.#refuseEarly(incoming, refusal, overloadRetryAfterMs);
+      return;
+    }
     const { version } = routes;
     const handover = identifier.readMark(incoming, id);
     if (handover && handover.configVersion > version) {
@@ -348,6 +362,7 @@
       maxKeptBytes: 0,
       readAfterDisconnect: false,
       maxUnboundedBytes: maxStreamedBytes,
+      streams: this.#streams,
       timeoutMs: Math.max(minCallMs, call.deadlineAt - performance.now()),
     });
     finish(result === 'cut' ? 'failed' : 'answered');
--- a/packages/gateway/test/body.test.ts
+++ b/packages/gateway/test/body.test.ts
@@ -5,6 +5,9 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { readResponseBody } from '../src/body.js';
 
+/** Turn of a response for which there is always room. */
+const unlimited = { keep: () => true };
+
 let server: Server | undefined;
 let pool: ConnectionPool | undefined;
 
@@ -85,7 +88,7 @@
     },
   ])('reads $name as $expected', async ({ respond, expected }) => {
     const endpoint = await startEndpoint(respond);
-    const result = await readResponseBody(await sendRequest(endpoint), 2000);
+    const result = await readResponseBody(await sendRequest(endpoint), 2000, unlimited);
     expect(result.kind).toBe(expected);
     if (result.kind === 'whole') expect(result.bytes.toString()).toBe('hello');
   });
@@ -99,7 +102,7 @@
       socket.write('0\r\n\r\n');
     });
     const response = await sendRequest(endpoint);
-    expect((await readResponseBody(response, 2000)).kind).toBe('large');
+    expect((await readResponseBody(response, 2000, unlimited)).kind).toBe('large');
     let size = 0;
     for await (const part of response) size += (part as Buffer).length;
     expect(size).toBe(40 * 0x10000);
@@ -112,7 +115,7 @@
   it('keeps nothing but the bytes of a body in small pieces', async () => {
     const response = new IncomingMessage(new Socket());
     response.headers = { 'transfer-encoding': 'chunked' };
-    const result = readResponseBody(response, 2000);
+    const result = readResponseBody(response, 2000, unlimited);
     const before = process.memoryUsage().arrayBuffers;
     const pieces = 4000;
     for (let index = 0; index < pieces; index++) {
--- a/packages/proxy/src/backlog.ts
+++ b/packages/proxy/src/backlog.ts
@@ -55,15 +55,20 @@
 
 /**
  * The place of a response among those of its connection. Its bytes count towards the backlog until
- * its turn comes, which is when all earlier responses have been sent.
+ * its turn comes, which is when all earlier responses have been sent, and towards the memory for all
+ * responses until it has been sent.
  */
 export class ResponseTurn {
   readonly #backlog: ResponseBacklog;
 
+  readonly #memory: ResponseBacklog;
+
   readonly #onRelease: () => void;
 
   #reservedBytes = 0;
 
+  #keptBytes = 0;
+
   #hasCome = false;
 
   #isClosed = false;
@@ -72,10 +77,12 @@
 
   /**
    * @param backlog - Backlog of the connection.
+   * @param memory - Memory for the responses of all connections.
    * @param onRelease - Called when reserved bytes were released.
    */
-  constructor(backlog: ResponseBacklog, onRelease: () => void) {
+  constructor(backlog: ResponseBacklog, memory: ResponseBacklog, onRelease: () => void) {
     this.#backlog = backlog;
+    this.#memory = memory;
     this.#onRelease = onRelease;
   }
 
@@ -85,11 +92,28 @@
   }
 
   /**
-   * Reserves memory for a part of the response.
+   * Keeps a part of the response in memory until the response has been sent.
+   *
+   * @param bytes - Size of the part.
+   * @returns Whether there is room. Otherwise the rest is to be left with the endpoint until the turn
+   * comes, and then read no faster than the caller reads.
+   */
+  keep(bytes: number): boolean {
+    if (this.#isClosed) return true;
+    if (!this.#memory.reserve(bytes)) return false;
+    if (this.reserve(bytes)) {
+      this.#keptBytes += bytes;
+      return true;
+    }
+    this.#memory.release(bytes);
+    return false;
+  }
+
+  /**
+   * Reserves bytes of the backlog, until the turn comes.
    *
    * @param bytes - Number of bytes in addition to those that are already reserved.
-   * @returns Whether the bytes may be read now. Otherwise they are to be left with the endpoint
-   * until the turn comes.
+   * @returns Whether there is room.
    */
   reserve(bytes: number): boolean {
     if (this.#hasCome || this.#isClosed) return true;
@@ -100,11 +124,12 @@
 
   /** @param bytes - Size of the complete response; what is reserved beyond it is released. */
   reduceTo(bytes: number): void {
-    const surplusBytes = this.#reservedBytes - bytes;
-    if (surplusBytes <= 0) return;
-    this.#reservedBytes = bytes;
-    this.#backlog.release(surplusBytes);
-    this.#onRelease();
+    const surplusBytes = this.#keptBytes - bytes;
+    if (surplusBytes > 0) {
+      this.#keptBytes = bytes;
+      this.#memory.release(surplusBytes);
+    }
+    this.#reduceReservedTo(bytes);
   }
 
   /**
@@ -134,13 +159,21 @@
   start(): void {
     if (this.#hasCome) return;
     this.#hasCome = true;
-    this.reduceTo(0);
+    this.#reduceReservedTo(0);
     this.#listeners.forEach((listener) => listener());
   }
 
-  /** Releases what is reserved, because the connection has closed. */
+  /** Releases all memory, because the response has been sent or its connection has closed. */
   close(): void {
     this.#isClosed = true;
     this.reduceTo(0);
   }
+
+  #reduceReservedTo(bytes: number): void {
+    const surplusBytes = this.#reservedBytes - bytes;
+    if (surplusBytes <= 0) return;
+    this.#reservedBytes = bytes;
+    this.#backlog.release(surplusBytes);
+    this.#onRelease();
+  }
 }
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -47,7 +47,10 @@
 export interface CallerLimits {
   /** Time limit for the headers of a request. */
   readonly headersTimeoutMs: number;
-  /** Time after which a connection without a call is closed. */
+  /**
+   * Time after which a connection without a call is closed, or one whose caller takes nothing of a
+   * response that is complete.
+   */
   readonly idleMs: number;
   /** Time limit for reading the rest of a body after the response to its call has been sent. */
   readonly lingerMs: number;
@@ -70,6 +73,8 @@
   readonly maxWaitingBytesPerConnection: number;
   /** Maximum bytes of waiting responses on all connections together. */
   readonly maxWaitingBytes: number;
+  /** Maximum bytes of all responses that are kept in memory until their callers have read them. */
+  readonly maxKeptBytes: number;
 }
 
 /** Requests beyond `maxPipelinedCalls` after which a connection is closed at once. */
@@ -84,6 +89,7 @@
   maxPipelinedCalls: 256,
   maxWaitingBytesPerConnection: 8 * 1024 * 1024,
   maxWaitingBytes: 128 * 1024 * 1024,
+  maxKeptBytes: 48 * 1024 * 1024,
 };
 
 /** `Retry-After` of a refusal that a new connection avoids, in seconds. */
@@ -106,6 +112,8 @@
 
   readonly #backlog: ResponseBacklog;
 
+  readonly #memory: ResponseBacklog;
+
   /** Connections that may have held calls, in the order in which they began to hold them. */
   readonly #holding = new Set<CallerConnection>();
 
@@ -132,6 +140,7 @@
     this.#maxHeaderBytes = this.#limits.maxHeaderBytes;
     this.#onRefusal = onRefusal;
     this.#backlog = new ResponseBacklog(this.#limits.maxWaitingBytes);
+    this.#memory = new ResponseBacklog(this.#limits.maxKeptBytes);
     this.#server = createServer({
       ServerResponse: CallerResponse,
       headersTimeout: this.#limits.headersTimeoutMs,
@@ -173,6 +182,11 @@
     return this.#backlog.bytes;
   }
 
+  /** Bytes of responses that are kept in memory until their callers have read them. */
+  get keptBytes(): number {
+    return this.#memory.bytes;
+  }
+
   /**
    * Starts to listen for callers.
    *
@@ -261,9 +275,11 @@
       return;
     }
     const cancellation = new Cancellation();
-    const turn = new ResponseTurn(connection.backlog, () => this.#scheduleHeldCalls());
+    const { backlog } = connection;
+    const turn = new ResponseTurn(backlog, this.#memory, () => this.#scheduleHeldCalls());
     connection.addCall(response, { cancellation, turn });
     this.#activeCalls += 1;
+    response.on('prefinish', () => this.#limitIdleTime(socket));
     response.on('finish', () => this.#finishCall(socket, response, connection));
     if (this.#isDraining) connection.markLastResponse();
     const acceptBody = () => response.acceptBody();
@@ -291,6 +307,11 @@
     this.#startHeldCalls(connection);
   }
 
+  /** Closes the connection if its caller stops to read the response that has just been written. */
+  #limitIdleTime(socket: Socket): void {
+    if (socket.writableLength > 0) socket.setTimeout(this.#server.keepAliveTimeout);
+  }
+
   #startHeldCalls(connection: CallerConnection): void {
     connection.startHeldCalls();
     if (connection.heldCalls.length > 0) this.#holding.add(connection);
@@ -313,7 +334,7 @@
   }
 
   #finishCall(socket: Socket, response: CallerResponse, connection: CallerConnection): void {
-    if (!connection.calls.delete(response)) return;
+    if (!connection.removeCall(response)) return;
     this.#activeCalls -= 1;
     const { req } = response;
     // Uses `socket` because `response.socket` is already null.
@@ -326,7 +347,10 @@
       return;
     }
     if (connection.heldCalls.length > 0) this.#startHeldCalls(connection);
-    if (connection.calls.size > 0) return;
+    if (connection.calls.size > 0) {
+      socket.setTimeout(0);
+      return;
+    }
     if (connection.finalResponse !== undefined) socket.end(connection.finalResponse);
     else if (this.#isClosing) this.#endAfterDelay(socket, connection);
   }
--- a/packages/proxy/src/connection.ts
+++ b/packages/proxy/src/connection.ts
@@ -74,6 +74,16 @@
     this.calls.set(response, call);
   }
 
+  /**
+   * Removes a call whose response has been sent.
+   *
+   * @returns Whether the call was there.
+   */
+  removeCall(response: CallerResponse): boolean {
+    this.calls.get(response)?.turn.close();
+    return this.calls.delete(response);
+  }
+
   /**
    * Makes the last response close the connection, if its turn has come. Node drops the requests
    * behind a response with `Connection: close`, so no other response may have that header.
--- a/packages/proxy/src/forward.ts
+++ b/packages/proxy/src/forward.ts
@@ -5,6 +5,7 @@
 import { copyTrailers } from './headers.js';
 import { ChunkPacer } from './pace.js';
 import { abortResponse } from './refusal.js';
+import type { ResponseStream, StreamTable } from './streams.js';
 
 /**
  * Checks the end of a response body. Node reports a body without a length or chunks as complete
@@ -50,6 +51,8 @@
    * by default.
    */
   readonly maxUnboundedBytes?: number;
+  /** Limits how many responses are forwarded at a time; unlimited by default. */
+  readonly streams?: StreamTable;
 }
 
 /**
@@ -100,6 +103,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #stream: ResponseStream | undefined;
+
   constructor(
     endpointResponse: IncomingMessage,
     callerResponse: ServerResponse,
@@ -125,6 +130,7 @@
       .on('close', this.#handleTruncation);
     // The error of an incomplete response is followed by `close`.
     this.#endpointResponse.on('error', () => undefined);
+    this.#stream = this.#options.streams?.add(() => this.#abandonCaller());
     this.#pacer.start();
     this.#meter.start();
     // The response is paused if another reader has given a part of it back.
@@ -140,7 +146,9 @@
       return;
     }
     if (this.#isKeeping) this.#keepChunk(chunk);
-    if (!this.#isDisconnected && !this.#callerResponse.write(chunk)) this.#endpointResponse.pause();
+    if (this.#isDisconnected || this.#callerResponse.write(chunk)) return;
+    this.#endpointResponse.pause();
+    this.#stream?.stall();
   };
 
   #keepChunk(chunk: Buffer): void {
@@ -154,6 +162,7 @@
   }
 
   readonly #handleDrain = () => {
+    this.#stream?.resume();
     this.#endpointResponse.resume();
   };
 
@@ -174,10 +183,14 @@
   #expire(): void {
     this.#isExpired = true;
     // While reading is paused for a slow caller, the timeout is not the endpoint's fault.
-    if (this.#callerResponse.writableNeedDrain) {
-      abortResponse(this.#callerResponse);
-      this.#handleDisconnect();
-    } else this.#handleTruncation();
+    if (this.#callerResponse.writableNeedDrain) this.#abandonCaller();
+    else this.#handleTruncation();
+  }
+
+  /** Ends the response to a caller that reads too slowly. */
+  #abandonCaller(): void {
+    abortResponse(this.#callerResponse);
+    this.#handleDisconnect();
   }
 
   readonly #handleTruncation = () => {
@@ -199,6 +212,7 @@
 
   #finish(result: ForwardOutcome['result']): void {
     clearTimeout(this.#timer);
+    this.#stream?.close();
     this.#pacer.stop();
     this.#meter.stop();
     this.#endpointResponse
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -6,6 +6,7 @@
 export * from './cancellation.js';
 export * from './forward.js';
 export * from './framing.js';
+export { StreamTable } from './streams.js';
 export * from './target.js';
 export * from './headers.js';
 export * from './pace.js';
