Let a large configuration finish its way to all instances

Cause: the logs have `no response within 700 ms` (327 times) and `no response to state within 400 ms` (140), from the arrival of the large version on. The document takes longer than these fixed limits on such a link, is given up and begun anew, by each instance that has given up its reader. A connection between instances was closed, too, when one message took 1.5 s to arrive: only whole messages counted as signs of life. And a reader sends the document to all others of its failure domain, some 14 times over one link.

Change: a response of the store, and one between instances with the state, may take longer while bytes keep arriving (10 s and 5 s at most); other messages keep their limits. Any byte keeps a connection between instances alive. Instances hand a large configuration on compressed, to those that accept it.

--- a/packages/gateway/src/operator-keys.ts
+++ b/packages/gateway/src/operator-keys.ts
@@ -16,6 +16,8 @@
 import { ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { GatewayConfig } from './catalog.js';
+import { deflateItem, inflateItem } from './handout.js';
+import type { SharedConfigItem } from './handout.js';
 import type { EvacuationKeys, ReplicaTarget, StoreSchema } from './schema.js';
 
 /**
@@ -46,7 +48,7 @@
 /** What operators have written, as one instance sends it to another. */
 export interface OperatorUpdate {
   /** The configuration; undefined when the receiver already has this version. */
-  readonly catalog: StoreItem | undefined;
+  readonly catalog: SharedConfigItem | undefined;
   /** Time since all of this was last confirmed to be current, in milliseconds. */
   readonly catalogAgeMs: number;
   /** Undefined when they are disabled or not known yet. */
@@ -101,6 +103,9 @@
   /** The same as other instances get it; undefined until one needs it. */
   #sharedConfigItem: StoreItem | undefined;
 
+  /** The same, compressed if it is large; undefined until an instance needs it. */
+  #deflatedConfigItem: SharedConfigItem | undefined;
+
   #configVersion = -1;
 
   #evacuations = unknownState;
@@ -210,14 +215,18 @@
    * Builds an update for another instance.
    *
    * @param configVersion - Version of the configuration of that instance.
+   * @param acceptsDeflated - Whether that instance accepts a compressed configuration.
    */
-  buildUpdate(configVersion: number): OperatorUpdate {
+  buildUpdate(configVersion: number, acceptsDeflated: boolean): OperatorUpdate {
     const { clock, schema } = this.#options;
     const hasState = schema.evacuations !== undefined && isKnown(this.#evacuations);
     return {
       // Only the version tells which configuration is newer: a store that is restored from a copy
       // assigns its revisions again.
-      catalog: this.#configVersion > configVersion ? this.#getSharedConfigItem() : undefined,
+      catalog:
+        this.#configVersion > configVersion
+          ? this.#getSharedConfigItem(acceptsDeflated)
+          : undefined,
       catalogAgeMs: clock.now() - this.#checkedAt,
       ...(hasState ? { evacuations: this.#evacuations } : {}),
     };
@@ -235,7 +244,7 @@
     if (schema.evacuations && evacuations) {
       this.#setEvacuations(mergeStates(this.#evacuations, evacuations), source, catalogAgeMs);
     }
-    if (catalog) this.#applyConfig(catalog, source);
+    if (catalog && !this.#applySharedConfig(catalog, source)) return;
     if (schema.evacuations && !evacuations) return;
     const checkedAt = clock.now() - catalogAgeMs;
     this.#checkedAt = Math.max(this.#checkedAt, checkedAt);
@@ -363,13 +372,27 @@
     if (newest) this.#putInForce(newest.item, newest.config, 'store');
   }
 
-  #getSharedConfigItem(): StoreItem | undefined {
+  #getSharedConfigItem(acceptsDeflated: boolean): SharedConfigItem | undefined {
     const item = this.#configItem;
     this.#sharedConfigItem ??= item && {
       ...item,
       value: this.#options.schema.redactConfig(item.value),
     };
-    return this.#sharedConfigItem;
+    if (!acceptsDeflated || !this.#sharedConfigItem) return this.#sharedConfigItem;
+    this.#deflatedConfigItem ??= deflateItem(this.#sharedConfigItem);
+    return this.#deflatedConfigItem;
+  }
+
+  /** @returns Whether the configuration of another instance could be read. */
+  #applySharedConfig(shared: SharedConfigItem, source: string): boolean {
+    const item = inflateItem(shared);
+    if (item.isOk()) {
+      this.#applyConfig(item.value, source);
+      return true;
+    }
+    const { revision } = shared;
+    this.#options.log.error('configuration-unreadable', { revision, source, reason: item.error });
+    return false;
   }
 
   #applyConfig(item: StoreItem, source: string): void {
@@ -391,6 +414,7 @@
     if (config.version <= this.#configVersion) return;
     this.#configItem = item;
     this.#sharedConfigItem = config.workspaces ? undefined : item;
+    this.#deflatedConfigItem = undefined;
     this.#configVersion = config.version;
     target.setConfig(config, source);
     onChange();
--- a/packages/gateway/src/replica.ts
+++ b/packages/gateway/src/replica.ts
@@ -66,6 +66,8 @@
   readonly registrations: StorePosition;
   /** Version of the configuration; -1 before the first. */
   readonly configVersion: number;
+  /** Whether a configuration may be sent compressed; older instances do not accept it. */
+  readonly acceptsDeflated?: boolean;
 }
 
 /** State that one instance sends to another. */
@@ -178,6 +180,7 @@
     return {
       registrations: this.#changeLog.position,
       configVersion: this.#operatorKeys.configVersion,
+      acceptsDeflated: true,
     };
   }
 
@@ -206,10 +209,14 @@
    *
    * @param progress - Progress of that instance.
    */
-  buildUpdate({ registrations, configVersion }: ReplicaProgress): ReplicaUpdate {
+  buildUpdate({
+    registrations,
+    configVersion,
+    acceptsDeflated = false,
+  }: ReplicaProgress): ReplicaUpdate {
     const now = this.#options.clock.now();
     return {
-      ...this.#operatorKeys.buildUpdate(configVersion),
+      ...this.#operatorKeys.buildUpdate(configVersion, acceptsDeflated),
       registrations: this.#changeLog.getChangesSince(registrations),
       listedAgeMs: now - this.#completeAt,
     };
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -22,6 +22,12 @@
 /** Timeout of a request without long polling. */
 const responseTimeoutMs = 400;
 
+/**
+ * Time by which a response may exceed its timeout while it keeps arriving, in milliseconds. Begun
+ * anew, a large configuration would take as long again.
+ */
+const maxTransferMs = 5000;
+
 /** Maximum time for which a request is held until there is a change. */
 const longPollMs = 1300;
 
@@ -286,7 +292,8 @@
       const body: SyncRequest = { ...replica.progress, fleetDigest: fleet.digest, heard };
       const waitMs = heard === undefined ? responseTimeoutMs : responseTimeoutMs + longPollMs;
       const sentAt = clock.now();
-      const result = await transport.request(peer, requestType, { ...body }, waitMs);
+      const sent = { ...body };
+      const result = await transport.request(peer, requestType, sent, waitMs, maxTransferMs);
       if (this.#stopped) return;
       if (result.isErr()) {
         this.#avoidUntil.set(peer, clock.now() + unresponsivePeerMs);
@@ -325,7 +332,14 @@
         heard: undefined,
       };
       const sentAt = clock.now();
-      const result = await transport.request(peer, requestType, { ...body }, responseTimeoutMs);
+      const sent = { ...body };
+      const result = await transport.request(
+        peer,
+        requestType,
+        sent,
+        responseTimeoutMs,
+        maxTransferMs,
+      );
       if (this.#stopped) return;
       if (result.isErr()) continue;
       const response = result.value as unknown as SyncResponse;
--- a/packages/gateway/test/operator-keys.test.ts
+++ b/packages/gateway/test/operator-keys.test.ts
@@ -276,4 +276,23 @@
     expect(replica.evacuations).toBeUndefined();
     expect(applied).toEqual([]);
   });
+
+  // Guards against a configuration that an instance of an older version cannot read.
+  it.each([
+    { name: 'an instance that accepts it', acceptsDeflated: true },
+    { name: 'an older instance', acceptsDeflated: undefined },
+  ])('are sent compressed to $name: $acceptsDeflated', async ({ acceptsDeflated }) => {
+    const store = new ScriptedStore();
+    const large = makeItem('op/config', 4);
+    store.items = [{ ...large, value: Buffer.from(large.value.toString().padEnd(100_000)) }];
+    const sender = await startWatching(store);
+    const progress = { registrations: beforeFirstPosition, configVersion: -1 };
+    const update = sender.buildUpdate(
+      acceptsDeflated ? { ...progress, acceptsDeflated } : progress,
+    );
+    expect(update.catalog?.isDeflated).toBe(acceptsDeflated);
+    const receiver = makeReplica(new ScriptedStore());
+    receiver.mergeUpdate(update, 'peer');
+    expect(receiver.progress.configVersion).toBe(sender.progress.configVersion);
+  });
 });
--- a/packages/peers/src/connection.ts
+++ b/packages/peers/src/connection.ts
@@ -17,6 +17,15 @@
 /** The connection is closed when nothing was received for this long. */
 const receiveTimeoutMs = 1500;
 
+/**
+ * Bytes of an incomplete message from which a request waits on for its response after its time
+ * limit, as long as more bytes arrive. Large messages take seconds on a busy link.
+ */
+const minPartialBytes = 4096;
+
+/** Time without a byte after which an incomplete message counts as stalled, in milliseconds. */
+const stallMs = 300;
+
 const heartbeatType = 'heartbeat';
 const failureType = 'failure';
 
@@ -43,8 +52,12 @@
 
   #sentAt = performance.now();
 
+  /** When the last byte arrived. */
   #receivedAt = performance.now();
 
+  /** Bytes that have arrived since the last complete message. */
+  #partialBytes = 0;
+
   #closed = false;
 
   /** Called once, when the connection has closed. */
@@ -64,6 +77,10 @@
     this.#self = self;
     this.#handlers = handlers;
     const decoder = new DecoderStream();
+    stream.on('data', (chunk: Buffer) => {
+      this.#receivedAt = performance.now();
+      this.#partialBytes += chunk.length;
+    });
     this.#encoder.pipe(stream).pipe(decoder);
     decoder.on('data', (value: unknown) => this.#receive(value));
     // Bytes that are not valid CBOR close the connection; the peer opens a new one.
@@ -95,6 +112,8 @@
    * @param type - Type of the request.
    * @param body - Body of the request.
    * @param timeoutMs - Time limit for the response, in milliseconds.
+   * @param maxTransferMs - Time by which a large response that keeps arriving may exceed the limit, in
+   * milliseconds.
    * @returns The body of the response. After an error the peer may or may not have handled the
    * request.
    */
@@ -102,15 +121,23 @@
     type: string,
     body: MessageBody,
     timeoutMs: number,
+    maxTransferMs = 0,
   ): Promise<Result<MessageBody, PeerError>> {
     if (this.#closed) return err({ kind: 'closed', message: 'the connection is closed' });
     const id = this.#nextId;
     this.#nextId += 1;
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
+      const endAt = performance.now() + timeoutMs + maxTransferMs;
+      let timer: NodeJS.Timeout | undefined;
+      const expire = () => {
+        if (this.#isReceiving && performance.now() < endAt) {
+          timer = setTimeout(expire, stallMs);
+          return;
+        }
         this.#pending.delete(id);
         resolve(err({ kind: 'timeout', message: `no response to ${type} within ${timeoutMs} ms` }));
-      }, timeoutMs);
+      };
+      timer = setTimeout(expire, timeoutMs);
       this.#pending.set(id, (response) => {
         clearTimeout(timer);
         this.#pending.delete(id);
@@ -134,8 +161,13 @@
     this.onclose();
   }
 
+  /** Whether a large message is arriving. */
+  get #isReceiving(): boolean {
+    return this.#partialBytes >= minPartialBytes && performance.now() - this.#receivedAt < stallMs;
+  }
+
   #receive(value: unknown): void {
-    this.#receivedAt = performance.now();
+    this.#partialBytes = 0;
     const message = parseMessage(value);
     if (!message) {
       this.close();
--- a/packages/peers/src/transport.ts
+++ b/packages/peers/src/transport.ts
@@ -157,6 +157,8 @@
    * @param type - Type of the request.
    * @param body - Body of the request.
    * @param timeoutMs - Time limit for the response once connected, in milliseconds.
+   * @param maxTransferMs - Time by which a large response that keeps arriving may exceed the limit, in
+   * milliseconds.
    * @returns The body of the response. After the errors `unreachable` and `refused` the peer has
    * not received the request; after any other error it may have handled the request.
    */
@@ -165,11 +167,12 @@
     type: string,
     body: MessageBody,
     timeoutMs: number,
+    maxTransferMs = 0,
   ): Promise<Result<MessageBody, PeerError>> {
     const connection = await this.#getConnection(instance);
     return connection.isErr()
       ? err(connection.error)
-      : connection.value.request(type, body, timeoutMs);
+      : connection.value.request(type, body, timeoutMs, maxTransferMs);
   }
 
   /** Stops listening and closes all connections. */
--- a/packages/store/src/transport.ts
+++ b/packages/store/src/transport.ts
@@ -20,7 +20,10 @@
   /** Rate limit of the calls; without it they are not limited. */
   readonly budget?: RateBudget;
   readonly metrics?: Pick<Metrics, 'recordEvent'>;
-  /** Time limit of calls other than watches, in milliseconds. */
+  /**
+   * Time limit for the beginning of a response, other than to a watch, and between two pieces of any
+   * response, in milliseconds.
+   */
   readonly timeoutMs?: number;
 }
 
@@ -29,6 +32,7 @@
   readonly method: string;
   readonly path: string;
   readonly body?: Buffer | undefined;
+  /** Time limit for the beginning of the response, in milliseconds. */
   readonly timeoutMs: number;
   /** The rate that the call counts against; undefined when it is not rate limited. */
   readonly budget: keyof FleetRates | undefined;
@@ -46,6 +50,9 @@
 /** Maximum size of a response, in bytes: several times that of a page or of a whole history. */
 const maxResponseBytes = 16 * 1024 * 1024;
 
+/** Time limit of a whole response, however many pieces it comes in, in milliseconds. */
+const maxTransferMs = 10_000;
+
 /** Longest time that a call waits for its rate limit before it fails. */
 const maxBudgetWaitMs = 500;
 
@@ -133,21 +140,23 @@
         path,
         headers: body ? { 'content-type': 'application/json', 'content-length': body.length } : {},
       });
-      const timer = setTimeout(() => {
+      const expire = (message: string) => {
         // The network may have dropped this connection and the idle ones without a reset. New
         // connections may still work.
         outgoing.destroy();
         Object.values(this.#agent.freeSockets).forEach((sockets) =>
           sockets?.forEach((socket) => socket.destroy()),
         );
-        resolve(
-          err({
-            kind: 'timeout',
-            message: `no response within ${timeoutMs} ms`,
-            applied: 'unknown',
-          }),
-        );
-      }, timeoutMs);
+        resolve(err({ kind: 'timeout', message, applied: 'unknown' }));
+      };
+      let timer = setTimeout(() => expire(`no response within ${timeoutMs} ms`), timeoutMs);
+      const startedAt = performance.now();
+      const extend = () => {
+        clearTimeout(timer);
+        const leftMs = Math.max(0, startedAt + timeoutMs + maxTransferMs - performance.now());
+        const message = 'the response stalled or took too long';
+        timer = setTimeout(() => expire(message), Math.min(this.timeoutMs, leftMs));
+      };
       outgoing.on('error', (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
         const applied = error.code === 'ECONNREFUSED' ? 'no' : 'unknown';
@@ -167,7 +176,9 @@
           return;
         }
         const bytes = new ByteCollector();
+        extend();
         response.on('data', (chunk: Buffer) => {
+          extend();
           bytes.add(chunk);
           if (bytes.size > maxResponseBytes) response.destroy();
         });
--- a/packages/store/test/client.test.ts
+++ b/packages/store/test/client.test.ts
@@ -99,6 +99,24 @@
     expect(sentBytes).toBeLessThan(32 * 1024 * 1024);
   });
 
+  /** Guards against a large response that is given up and begun anew, although it keeps arriving. */
+  it.each([
+    { name: 'keeps arriving', pieceMs: 60, expected: { value: { index: 7 } } },
+    { name: 'stalls', pieceMs: 400, expected: { error: { kind: 'timeout' } } },
+  ])('reads a response that takes longer than the time limit and $name', async (row) => {
+    const { client } = await openPlatform(
+      (_request, response) => {
+        const text = '[]'.padStart(10, ' ');
+        response.writeHead(200, { 'x-consul-index': 7, 'content-length': text.length });
+        [...text].forEach((piece, index) => {
+          setTimeout(() => response.write(piece), index * row.pieceMs);
+        });
+      },
+      { timeoutMs: 200 },
+    );
+    expect(await client.read('a')).toMatchObject(row.expected);
+  });
+
   // Guards against `applied: 'unknown'` when nothing listens on the port of the platform.
   it('reports that a refused connection wrote nothing', async () => {
     const result = await new ConsulClient('127.0.0.1:1').compareAndSwap('a', Buffer.from(''), 0);
