Handle the errors and the end of a connection after CONNECT

Cause: Node removes its listeners from the socket before the event `connect`. Nothing handled its errors, nothing read it, and nothing ended it when the caller kept it open.

Change: the socket has a listener for errors and is read to its end, which cancels calls before the CONNECT; a connection that was ended with a refusal is destroyed after the linger time.

--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -52,7 +52,10 @@
    * response that is complete.
    */
   readonly idleMs: number;
-  /** Time limit for reading the rest of a body after the response to its call has been sent. */
+  /**
+   * Time limit for reading the rest of a body after the response to its call has been sent, and for a
+   * caller to close a connection that has been ended.
+   */
   readonly lingerMs: number;
   /**
    * During a stop, time for another request on a connection whose last response did not have the
@@ -162,10 +165,7 @@
       const refusal = { status: 417, verdict: 'not-run', message } as const;
       this.#refuseRequest(request, response, chooseRequestId(undefined), refusal);
     });
-    this.#server.on('connect', (_request, socket) => {
-      const message = 'CONNECT is not supported';
-      this.#rejectInput(socket, { status: 501, verdict: 'not-run', message });
-    });
+    this.#server.on('connect', (_request, socket) => this.#rejectTunnel(socket));
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       if (error.code === 'ECONNRESET' || !socket.writable) socket.destroy();
       else this.#rejectInput(socket, this.#makeInputRefusal(socket, error));
@@ -236,7 +236,7 @@
       NetServer.prototype.close.call(this.#server, () => resolve());
     });
     this.#connections.forEach(({ calls }, socket) => {
-      if (calls.size === 0) this.#endConnection(socket);
+      if (calls.size === 0) this.#endConnection(socket, '', this.#limits.closeDelayMs);
     });
     const timer = setTimeout(() => this.#server.closeAllConnections(), maxMs);
     await closed;
@@ -351,8 +351,9 @@
       socket.setTimeout(0);
       return;
     }
-    if (connection.finalResponse !== undefined) socket.end(connection.finalResponse);
-    else if (this.#isClosing) this.#endAfterDelay(socket, connection);
+    if (connection.finalResponse !== undefined) {
+      this.#endConnection(socket, connection.finalResponse);
+    } else if (this.#isClosing) this.#endAfterDelay(socket, connection);
   }
 
   /**
@@ -366,10 +367,10 @@
     socket.once('close', () => clearTimeout(timer));
   }
 
-  /** Ends an idle connection, which its caller may leave open for a while. */
-  #endConnection(socket: Duplex): void {
-    socket.end();
-    const timer = setTimeout(() => socket.destroy(), this.#limits.closeDelayMs);
+  /** Ends a connection with its last bytes; its caller may leave it open for a while. */
+  #endConnection(socket: Duplex, lastBytes: string, maxMs = this.#limits.lingerMs): void {
+    socket.end(lastBytes);
+    const timer = setTimeout(() => socket.destroy(), maxMs);
     socket.once('close', () => clearTimeout(timer));
   }
 
@@ -412,6 +413,16 @@
     };
   }
 
+  /** Refuses a CONNECT request. From then on, Node neither reads the connection nor handles its errors. */
+  #rejectTunnel(socket: Duplex): void {
+    const hasCalls = () => (this.#connections.get(socket)?.calls.size ?? 0) > 0;
+    socket.on('error', () => socket.destroy());
+    socket.on('end', () => hasCalls() && socket.destroy());
+    socket.resume();
+    const message = 'CONNECT is not supported';
+    this.#rejectInput(socket, { status: 501, verdict: 'not-run', message });
+  }
+
   /** Refuses malformed input, after the responses to the requests that came before it. */
   #rejectInput(socket: Duplex, refusal: Refusal): void {
     const connection = this.#connections.get(socket);
@@ -420,7 +431,7 @@
     // The handler of a call learns of a failure of its body below.
     if (!last || last.req.complete) this.#onRefusal(refusal, undefined);
     if (!connection || !last) {
-      socket.end(response);
+      this.#endConnection(socket, response);
       return;
     }
     connection.setFinalResponse(last.req.complete ? response : '');
