--- a/packages/gateway/src/handout.ts
+++ b/packages/gateway/src/handout.ts
@@ -36,13 +36,12 @@
  *
  * @returns The configuration, or why it cannot be read.
  */
-export function inflateItem({ isDeflated, ...item }: SharedConfigItem): Result<StoreItem, string> {
-  if (!isDeflated) return ok(item);
+export function inflateItem(shared: SharedConfigItem): Result<StoreItem, string> {
+  if (!shared.isDeflated) return ok(shared);
+  const { key, epoch, revision } = shared;
   try {
-    return ok({
-      ...item,
-      value: inflateRawSync(item.value, { maxOutputLength: maxInflatedBytes }),
-    });
+    const value = inflateRawSync(shared.value, { maxOutputLength: maxInflatedBytes });
+    return ok({ key, value, epoch, revision });
   } catch (error) {
     return err((error as Error).message);
   }
