Notice that a caller has left while its upload waits

Cause: Node notices the end of a connection only while it reads it. The rest of a long body was not read while the call waited for an endpoint or for a connection to it.

Change: `BodyAhead` reads on in the body, up to 1 MiB and 16 MiB for all (`UploadMemory`, which also bounds the check of bans); the upload begins when its request has a connection. The counter of bytes is a class of its own, `ByteBudget`.

--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -27,7 +27,7 @@
 import type { CallOutcome, CallRecorder, LoggedTiming } from './recorder.js';
 import type { RouteTable } from './routes.js';
 import { RequestScreen } from './screen.js';
-import type { ScreenedRequest } from './screen.js';
+import { UploadMemory } from './uploads.js';
 
 /** `Retry-After` of a refusal while the instance has no configuration. */
 const noConfigRetryAfterMs = 300;
@@ -110,9 +110,11 @@
 
   readonly #streams = new StreamTable();
 
+  readonly #uploads = new UploadMemory();
+
   constructor(options: CallHandlerOptions) {
     this.#options = options;
-    this.#screen = new RequestScreen(options.crashes);
+    this.#screen = new RequestScreen(options.crashes, this.#uploads);
   }
 
   /**
@@ -240,10 +242,14 @@
       const refusal = { status: 503, verdict: 'not-run', message } as const;
       return this.#respondWithRefusal(incoming, refusal, 'banned', banRetryAfterMs);
     }
+    const { digest, release } = screened.value;
+    const kept = this.#uploads.readAhead(screened.value.body);
     try {
-      return await this.#sendScreened(incoming, id, route, origin, trace, screened.value);
+      const screenedRequest = { body: kept.body, digest };
+      return await this.#sendScreened(incoming, id, route, origin, trace, screenedRequest);
     } finally {
-      screened.value.release();
+      kept.release();
+      release();
     }
   }
 
@@ -253,7 +259,7 @@
     route: Route,
     origin: CallOrigin,
     trace: CallTrace,
-    { body, digest }: ScreenedRequest,
+    { body, digest }: Pick<Call, 'body' | 'digest'>,
   ): Promise<CallOutcome> {
     const { routes, sender, headerCodec } = this.#options;
     const { workspace, hidesCredentials } = origin;
--- a/packages/gateway/src/screen.ts
+++ b/packages/gateway/src/screen.ts
@@ -3,36 +3,31 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { CrashTable } from './crashes.js';
-
-/**
- * Largest body that is kept until its ban has been checked, in bytes. Of a longer one the endpoint
- * gets all but the last bytes before the check.
- */
-const maxCheckedBytes = 1024 * 1024;
-
-/** Maximum bytes of all bodies that are kept for a check. */
-const maxKeptBytes = 16 * 1024 * 1024;
+import { maxUploadBytes } from './uploads.js';
+import type { KeptBody, UploadMemory } from './uploads.js';
 
 /** A request that is not banned, as far as its body has come in. */
-export interface ScreenedRequest {
-  readonly body: RequestBody;
+export interface ScreenedRequest extends KeptBody {
   readonly digest: RequestDigest;
-  /** Ends the use of the memory for the body. */
-  release(): void;
 }
 
 /**
  * Keeps banned requests from endpoints. A ban names one whole request, but a long body is sent on
- * while it comes in. So it is read to its end first if a banned request has the same start.
+ * while it comes in. So it is read to its end first if a banned request has the same start. Of a body
+ * for which there is no memory, the endpoint gets all but the last bytes before the check.
  */
 export class RequestScreen {
   readonly #crashes: CrashTable;
 
-  #keptBytes = 0;
+  readonly #memory: UploadMemory;
 
-  /** @param crashes - Knows the banned requests. */
-  constructor(crashes: CrashTable) {
+  /**
+   * @param crashes - Knows the banned requests.
+   * @param memory - Memory for bodies that are read to their end.
+   */
+  constructor(crashes: CrashTable, memory: UploadMemory) {
     this.#crashes = crashes;
+    this.#memory = memory;
   }
 
   /**
@@ -62,15 +57,11 @@
     timeoutMs: number,
   ): Promise<Result<ScreenedRequest, Refusal | 'banned'>> {
     const mayComplete = () => digest.value !== undefined && !this.#crashes.isBanned(digest.value);
-    const bytes = Math.min(body.length ?? maxCheckedBytes, maxCheckedBytes);
-    if (this.#keptBytes + bytes > maxKeptBytes) {
+    const release = this.#memory.reserve(body);
+    if (!release) {
       return ok({ body: { ...body, mayComplete }, digest, release: () => undefined });
     }
-    this.#keptBytes += bytes;
-    const release = () => {
-      this.#keptBytes -= bytes;
-    };
-    const read = await readFurther(body, maxCheckedBytes, timeoutMs);
+    const read = await readFurther(body, maxUploadBytes, timeoutMs);
     if (read.isOk() && read.value.kind === 'stream') {
       return ok({ body: { ...read.value, mayComplete }, digest, release });
     }
--- a/packages/gateway/test/left.test.ts
+++ b/packages/gateway/test/left.test.ts
@@ -46,16 +46,28 @@
     await bed.close();
   });
 
-  function send(path: string): Socket {
+  function send(path: string, { bytes = 0, isChunked = false } = {}): Socket {
     const socket = connect(bed.port, '127.0.0.1');
     socket.on('error', () => undefined);
-    socket.write(`POST ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n`);
+    const framing = isChunked ? 'Transfer-Encoding: chunked' : `Content-Length: ${bytes}`;
+    const body = 'x'.repeat(bytes);
+    socket.write(`POST ${path} HTTP/1.1\r\nHost: h\r\n${framing}\r\n\r\n`);
+    socket.write(isChunked ? `${bytes.toString(16)}\r\n${body}\r\n0\r\n\r\n` : body);
     sockets.push(socket);
     return socket;
   }
 
-  /** Guards against a payment that is sent seconds after its caller has left. */
-  it('is not sent once its caller has left', async () => {
+  const close = (socket: Socket) => socket.end();
+  const reset = (socket: Socket) => socket.resetAndDestroy();
+
+  /** Guards against a payment or an upload that is sent seconds after its caller has left (review/9). */
+  it.each([
+    { name: 'without a body', sent: {}, leave: close },
+    { name: 'with a short body', sent: { bytes: 1000 }, leave: close },
+    { name: 'with an upload', sent: { bytes: 200_000 }, leave: close },
+    { name: 'with an upload, by a reset', sent: { bytes: 200_000 }, leave: reset },
+    { name: 'with an upload in chunks', sent: { bytes: 360_000, isChunked: true }, leave: close },
+  ])('is not sent once its caller has left: $name', async ({ sent, leave }) => {
     // Two connections are the fewest that an instance uses.
     bed.maxConnections = 2;
     const pending: ServerResponse[] = [];
@@ -66,10 +78,10 @@
     });
     ['/1', '/2'].forEach((path) => send(path));
     while (pending.length < 2) await sleep(5);
-    const left = send('/left');
-    const kept = send('/kept');
+    const left = send('/left', sent);
+    const kept = send('/kept', sent);
     await sleep(100);
-    left.destroy();
+    leave(left);
     await sleep(100);
     pending.splice(0).forEach((response) => response.end('served'));
     while (!paths.includes('/kept')) await sleep(5);
--- a/packages/gateway/test/screen.test.ts
+++ b/packages/gateway/test/screen.test.ts
@@ -8,6 +8,7 @@
 import { describe, expect, it } from 'vitest';
 import { CrashTable } from '../src/crashes.js';
 import { RequestScreen } from '../src/screen.js';
+import { UploadMemory } from '../src/uploads.js';
 
 const head = 'POST h/scan\n';
 
@@ -42,7 +43,7 @@
 async function makeScreen(banned: Buffer) {
   const crashes = new CrashTable(new ManualClock(), createLogger('test'));
   crashes.acceptBan(await digestBytes(banned));
-  return new RequestScreen(crashes);
+  return new RequestScreen(crashes, new UploadMemory());
 }
 
 describe('RequestScreen', () => {
--- a/packages/proxy/src/backlog.ts
+++ b/packages/proxy/src/backlog.ts
@@ -1,3 +1,4 @@
+import type { ByteBudget } from './budget.js';
 import type { Cancellation } from './cancellation.js';
 
 /** Maximum bytes of one read of a connection. */
@@ -10,58 +11,15 @@
  */
 export const readAheadBytes = 3 * socketReadBytes;
 
-/**
- * Counts the bytes of responses that wait behind earlier ones, against a limit and against the
- * limit of a larger group, such as that of the whole process.
- */
-export class ResponseBacklog {
-  readonly #maxBytes: number;
-
-  readonly #group: ResponseBacklog | undefined;
-
-  #bytes = 0;
-
-  /**
-   * @param maxBytes - Maximum number of bytes.
-   * @param group - Backlog in which the bytes are counted, too.
-   */
-  constructor(maxBytes: number, group?: ResponseBacklog) {
-    this.#maxBytes = maxBytes;
-    this.#group = group;
-  }
-
-  /** Number of reserved bytes. */
-  get bytes(): number {
-    return this.#bytes;
-  }
-
-  /**
-   * @param bytes - Number of bytes.
-   * @returns Whether they fit into the limits; otherwise nothing is reserved.
-   */
-  reserve(bytes: number): boolean {
-    if (this.#bytes + bytes > this.#maxBytes) return false;
-    if (this.#group && !this.#group.reserve(bytes)) return false;
-    this.#bytes += bytes;
-    return true;
-  }
-
-  /** @param bytes - Number of reserved bytes that are no longer held. */
-  release(bytes: number): void {
-    this.#bytes -= bytes;
-    this.#group?.release(bytes);
-  }
-}
-
 /**
  * The place of a response among those of its connection. Its bytes count towards the backlog until
  * its turn comes, which is when all earlier responses have been sent, and towards the memory for all
  * responses until it has been sent.
  */
 export class ResponseTurn {
-  readonly #backlog: ResponseBacklog;
+  readonly #backlog: ByteBudget;
 
-  readonly #memory: ResponseBacklog;
+  readonly #memory: ByteBudget;
 
   readonly #onRelease: () => void;
 
@@ -80,7 +38,7 @@
    * @param memory - Memory for the responses of all connections.
    * @param onRelease - Called when reserved bytes were released.
    */
-  constructor(backlog: ResponseBacklog, memory: ResponseBacklog, onRelease: () => void) {
+  constructor(backlog: ByteBudget, memory: ByteBudget, onRelease: () => void) {
     this.#backlog = backlog;
     this.#memory = memory;
     this.#onRelease = onRelease;
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -2,6 +2,7 @@
 import { ByteCollector } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
+import type { BodyAhead } from './ahead.js';
 import { copyTrailers } from './headers.js';
 import type { Refusal } from './refusal.js';
 
@@ -20,6 +21,8 @@
   readonly kind: 'stream';
   /** The bytes that have already been read from `rest`. */
   readonly head: Buffer;
+  /** Reads on behind `head` until the body is sent. */
+  readonly ahead?: BodyAhead;
   readonly rest: IncomingMessage;
   /** Length of the whole body; undefined when the caller uses chunked transfer coding. */
   readonly length: number | undefined;
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -4,7 +4,8 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { RequestId } from '@dotterelpass/values';
-import { ResponseBacklog, ResponseTurn } from './backlog.js';
+import { ResponseTurn } from './backlog.js';
+import { ByteBudget } from './budget.js';
 import { Cancellation } from './cancellation.js';
 import { CallerConnection } from './connection.js';
 import { readTarget } from './target.js';
@@ -113,9 +114,9 @@
 
   readonly #connections = new Map<Duplex, CallerConnection>();
 
-  readonly #backlog: ResponseBacklog;
+  readonly #backlog: ByteBudget;
 
-  readonly #memory: ResponseBacklog;
+  readonly #memory: ByteBudget;
 
   /** Connections that may have held calls, in the order in which they began to hold them. */
   readonly #holding = new Set<CallerConnection>();
@@ -142,8 +143,8 @@
     this.#limits = { ...defaultLimits, ...limits };
     this.#maxHeaderBytes = this.#limits.maxHeaderBytes;
     this.#onRefusal = onRefusal;
-    this.#backlog = new ResponseBacklog(this.#limits.maxWaitingBytes);
-    this.#memory = new ResponseBacklog(this.#limits.maxKeptBytes);
+    this.#backlog = new ByteBudget(this.#limits.maxWaitingBytes);
+    this.#memory = new ByteBudget(this.#limits.maxKeptBytes);
     this.#server = createServer({
       ServerResponse: CallerResponse,
       headersTimeout: this.#limits.headersTimeoutMs,
--- a/packages/proxy/src/connection.ts
+++ b/packages/proxy/src/connection.ts
@@ -1,5 +1,6 @@
-import { readAheadBytes, ResponseBacklog } from './backlog.js';
+import { readAheadBytes } from './backlog.js';
 import type { ResponseTurn } from './backlog.js';
+import { ByteBudget } from './budget.js';
 import type { Cancellation } from './cancellation.js';
 import type { CallerResponse } from './response.js';
 
@@ -26,7 +27,7 @@
   /** Those of `calls` that are not handled yet, oldest first. */
   readonly heldCalls: HeldCall[] = [];
 
-  readonly backlog: ResponseBacklog;
+  readonly backlog: ByteBudget;
 
   #finalResponse: string | undefined;
 
@@ -37,9 +38,9 @@
    * @param maxWaitingBytes - Maximum bytes of the responses that wait behind an earlier one.
    * @param processBacklog - Backlog of all connections together.
    */
-  constructor(maxHeaderBytes: number, maxWaitingBytes: number, processBacklog: ResponseBacklog) {
+  constructor(maxHeaderBytes: number, maxWaitingBytes: number, processBacklog: ByteBudget) {
     this.maxHeaderBytes = maxHeaderBytes;
-    this.backlog = new ResponseBacklog(maxWaitingBytes, processBacklog);
+    this.backlog = new ByteBudget(maxWaitingBytes, processBacklog);
   }
 
   /**
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,6 +1,8 @@
 export { isEndedCleanly } from './agent.js';
+export { BodyAhead } from './ahead.js';
 export * from './backlog.js';
 export * from './body.js';
+export { ByteBudget } from './budget.js';
 export { digestRequest, RequestDigest } from './digest.js';
 export * from './caller.js';
 export * from './cancellation.js';
--- a/packages/proxy/src/upload.ts
+++ b/packages/proxy/src/upload.ts
@@ -19,7 +19,8 @@
     outgoing.end(body.bytes);
     return;
   }
-  new Upload(outgoing, body).start();
+  // Until there is a connection, the body is read on, so that the end of the caller's is noticed.
+  outgoing.once('socket', () => new Upload(outgoing, body).start());
 }
 
 /**
@@ -52,6 +53,8 @@
   }
 
   start(): void {
+    const { ahead } = this.#body;
+    const head = ahead ? ahead.stop() : this.#body.head;
     if (this.#rest.destroyed && !this.#rest.readableEnded) {
       this.#handleClose();
       return;
@@ -65,8 +68,10 @@
     this.#rest.on('data', this.#handleData).on('end', this.#handleEnd);
     this.#rest.on('close', this.#handleClose).on('error', this.#handleError);
     this.#rest.pause();
-    this.#handleData(this.#body.head);
-    if (!this.#outgoing.writableNeedDrain) this.#rest.resume();
+    this.#handleData(head);
+    if (this.#outgoing.destroyed) return;
+    if (this.#rest.readableEnded) this.#handleEnd();
+    else if (!this.#outgoing.writableNeedDrain) this.#rest.resume();
   }
 
   readonly #handleData = (chunk: Buffer) => {
