Separate the gate of cold endpoints from what is known of one

endpoint.ts needed warmup.ts for what is known of a cold endpoint, and warmup.ts needed endpoint.ts for the gate that limits its requests. The gate is in gate.ts now, and the circle is gone.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,7 @@
 import { CallRecorder } from './recorder.js';
 import { RetryPolicy } from './retries.js';
 import { RouteTable } from './routes.js';
-import { WarmupGate } from './warmup.js';
+import { WarmupGate } from './gate.js';
 import { LatencyEstimator } from './latency.js';
 
 /**
--- a/packages/gateway/src/prober.ts
+++ b/packages/gateway/src/prober.ts
@@ -5,7 +5,7 @@
 import type { Endpoint } from './endpoint.js';
 import { sendProbe } from './probe.js';
 import type { ProbeReply } from './probe.js';
-import type { WarmupGate } from './warmup.js';
+import type { WarmupGate } from './gate.js';
 
 /** Burst size of the probe budget, as the number of seconds whose probes may be sent at once. */
 const burstSeconds = 1;
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -15,8 +15,8 @@
 import type { Pick, Picker } from './picker.js';
 import type { LatencyEstimator } from './latency.js';
 import { countSent } from './retries.js';
-import { freeToken } from './warmup.js';
-import type { AttemptToken, WarmupGate } from './warmup.js';
+import { freeToken } from './gate.js';
+import type { AttemptToken, WarmupGate } from './gate.js';
 import type { RetryPolicy } from './retries.js';
 
 /**
--- a/packages/gateway/test/prober.test.ts
+++ b/packages/gateway/test/prober.test.ts
@@ -18,7 +18,7 @@
 import { Endpoint } from '../src/endpoint.js';
 import { createBackpressure } from './backpressure.js';
 import { UnlimitedLimiter } from './unlimited.js';
-import { WarmupGate } from '../src/warmup.js';
+import { WarmupGate } from '../src/gate.js';
 import { invalidStatusLines } from './raw.js';
 import { Prober } from '../src/prober.js';
 
--- a/packages/gateway/test/warmup.test.ts
+++ b/packages/gateway/test/warmup.test.ts
@@ -8,7 +8,8 @@
 import type { Clock, EndpointId, FailureDomain, LimitKey, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Endpoint } from '../src/endpoint.js';
-import { EndpointWarmup, WarmupGate } from '../src/warmup.js';
+import { WarmupGate } from '../src/gate.js';
+import { EndpointWarmup } from '../src/warmup.js';
 import { createBackpressure } from './backpressure.js';
 import { GatewayBed } from './bed.js';
 
