Split the assignment of coordinators and the status from the quota client

Which coordinator each group of limits has, and the links to them, is assignment.ts; what operators and the log get is status.ts.

--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -3,13 +3,14 @@
 import type { Clock, InstanceId, LimitKey, Random } from '@dotterelpass/values';
 import { computeOverlapRate, computeUsableMs } from './bounds.js';
 import type { QuotaBounds } from './bounds.js';
-import type { CoordinatedGroup, QuotaCoordinator } from './coordinator.js';
-import { computeGroup, selectCoordinators } from './groups.js';
+import { CoordinatorAssignment } from './assignment.js';
+import type { LimitGroup } from './assignment.js';
+import type { QuotaCoordinator } from './coordinator.js';
 import { InstanceLimit, tokenTtlMs } from './limit.js';
-import type { AskedLimit, DenialCause, LimitCounts, Waiter } from './limit.js';
+import type { AskedLimit, DenialCause, Waiter } from './limit.js';
 import { FleetLimiter } from './limiter.js';
 import type { LimitSpec, QuotaDecision } from './limiter.js';
-import { CoordinatorLink } from './link.js';
+import type { CoordinatorLink } from './link.js';
 import type {
   QuotaFailure,
   QuotaRequest,
@@ -17,6 +18,7 @@
   QuotaTransport,
   TokenAnswer,
 } from './message.js';
+import type { QuotaEvent, QuotaStatus } from './status.js';
 
 /** Minimum time between two messages to the same coordinator. */
 const batchIntervalMs = 20;
@@ -34,37 +36,6 @@
 /** Coordinators that may fail to answer for one request before the own share decides about it. */
 const maxFailovers = 2;
 
-/** What an instance decides about shared limits, for the log. */
-export type QuotaEvent =
-  | {
-      readonly kind: 'failover';
-      readonly groups: readonly number[];
-      readonly from: InstanceId;
-      /** Undefined when no coordinator responds, so that the own share is used. */
-      readonly to: InstanceId | undefined;
-      readonly reason: string;
-      /** Time since the last response, in milliseconds; undefined when there was none. */
-      readonly ageMs: number | undefined;
-      readonly size: number;
-    }
-  | {
-      readonly kind: 'denials-began';
-      readonly limit: LimitSpec;
-      readonly cause: DenialCause;
-      readonly coordinator: InstanceId | undefined;
-      /** Instances attached to the coordinator, and its tokens; undefined for the own share. */
-      readonly attached: number | undefined;
-      readonly tokens: number | undefined;
-      readonly size: number;
-      readonly retryAfterMs: number;
-    }
-  | {
-      readonly kind: 'denials-ended';
-      readonly limit: LimitSpec;
-      readonly lastedMs: number;
-      readonly denied: number;
-    };
-
 export interface QuotaClientOptions {
   readonly self: InstanceId;
   readonly clock: Clock;
@@ -80,29 +51,6 @@
   onEvent(event: QuotaEvent): void;
 }
 
-/** A group of limits; instances attach to one coordinator for all of them. */
-class LimitGroup {
-  readonly number: number;
-
-  /** Tells groups with the same number apart when the number of groups changes. */
-  readonly id: string;
-
-  readonly order: readonly InstanceId[];
-
-  /** Undefined while no coordinator responds. */
-  coordinator: InstanceId | undefined;
-
-  constructor(number: number, id: string, order: readonly InstanceId[]) {
-    this.number = number;
-    this.id = id;
-    this.order = order;
-  }
-
-  setCoordinator(coordinator: InstanceId | undefined): void {
-    this.coordinator = coordinator;
-  }
-}
-
 interface Exchange {
   readonly request: QuotaRequest;
   /** Groups to which the message attaches. */
@@ -111,23 +59,6 @@
   readonly sentAt: number;
 }
 
-/** What operators see of a limit. */
-export interface LimitStatus extends LimitSpec, LimitCounts {
-  readonly coordinator: InstanceId | undefined;
-}
-
-/** What operators see of the shared limits on one instance. */
-export interface QuotaStatus {
-  readonly isActive: boolean;
-  readonly size: number;
-  readonly groups: readonly {
-    readonly group: number;
-    readonly coordinator: InstanceId | undefined;
-  }[];
-  readonly coordinating: readonly CoordinatedGroup[];
-  readonly limits: readonly LimitStatus[];
-}
-
 /** Takes tokens from the coordinators of the fleet, or from the own share while none responds. */
 export class QuotaClient extends FleetLimiter {
   readonly #options: QuotaClientOptions;
@@ -137,12 +68,7 @@
   /** Limits with requests that wait or with unused tokens. */
   readonly #pending = new Set<InstanceLimit>();
 
-  readonly #links = new Map<InstanceId, CoordinatorLink>();
-
-  #groups: readonly LimitGroup[] = [];
-
-  /** Names of the instances, to find changes. */
-  #instances = '';
+  readonly #assignment: CoordinatorAssignment;
 
   #size: number;
 
@@ -157,6 +83,7 @@
     super();
     this.#options = options;
     this.#size = options.assumedSize;
+    this.#assignment = new CoordinatorAssignment(options.clock);
   }
 
   /** Number of limits with a state here. */
@@ -180,17 +107,8 @@
     const sorted = [...new Set([...instances, self])].sort();
     this.#size = Math.max(size, sorted.length);
     coordinator.setSize(this.#size);
-    const names = sorted.join(' ');
-    if (names === this.#instances) return;
-    this.#instances = names;
-    const previous = new Map(this.#groups.map(({ id, coordinator: before }) => [id, before]));
-    const orders = selectCoordinators(sorted);
-    this.#groups = orders.map((order, number) => {
-      const group = new LimitGroup(number, `${number}/${orders.length}`, order);
-      group.setCoordinator(previous.get(group.id));
-      return group;
-    });
-    if (!this.#isActive) return;
+    const hasChanged = this.#assignment.setInstances(sorted);
+    if (!hasChanged || !this.#isActive) return;
     this.#updateCoordinators();
     this.#wakeWaiters();
   }
@@ -201,9 +119,8 @@
    * @param peer - An instance whose connection has closed.
    */
   notifyClosed(peer: InstanceId): void {
-    const link = this.#links.get(peer);
-    const isUsed = this.#groups.some(({ coordinator }) => coordinator === peer);
-    if (link && isUsed) this.#sendSoon(link);
+    const link = this.#assignment.findLink(peer);
+    if (link && this.#assignment.listGroups(peer).length > 0) this.#sendSoon(link);
   }
 
   /** @param isActive - Whether any limit is configured; otherwise nothing is sent. */
@@ -214,7 +131,7 @@
     const activation = this.#activation;
     const { schedule, random } = this.#options;
     if (isActive) schedule(() => this.#tick(activation), random.next() * startSpreadMs);
-    else this.#groups.forEach((group) => group.setCoordinator(undefined));
+    else this.#assignment.clear();
     this.#wakeWaiters();
   }
 
@@ -244,7 +161,7 @@
   /** @returns The state for operators. */
   readStatus(): QuotaStatus {
     const { coordinator } = this.#options;
-    const groups = this.#isActive ? this.#groups : [];
+    const groups = this.#isActive ? this.#assignment.groups : [];
     return {
       isActive: this.#isActive,
       size: this.#size,
@@ -272,27 +189,21 @@
   }
 
   #findGroup({ spec }: InstanceLimit): LimitGroup | undefined {
-    if (!this.#isActive || this.#groups.length === 0) return undefined;
-    return this.#groups[computeGroup(spec.key, this.#groups.length)];
+    return this.#isActive ? this.#assignment.findGroup(spec.key) : undefined;
   }
 
   #findLink(limit: InstanceLimit): CoordinatorLink | undefined {
     const group = this.#findGroup(limit);
     if (group && group.coordinator === undefined) this.#updateCoordinators();
-    return group?.coordinator === undefined ? undefined : this.#getOrCreateLink(group.coordinator);
-  }
-
-  #getOrCreateLink(peer: InstanceId): CoordinatorLink {
-    const link = this.#links.get(peer) ?? new CoordinatorLink(peer);
-    this.#links.set(peer, link);
-    return link;
+    if (group?.coordinator === undefined) return undefined;
+    return this.#assignment.getOrCreateLink(group.coordinator);
   }
 
   #takeFromShare(limit: InstanceLimit): QuotaDecision {
     const { spec } = limit;
     const group = this.#findGroup(limit);
     const bounds = this.#options.getBounds();
-    const isOverlapping = group !== undefined && this.#computeOverlapMs(group, undefined) > 0;
+    const isOverlapping = group !== undefined && this.#assignment.computeOverlapMs(group) > 0;
     const rate = isOverlapping ? computeOverlapRate(spec, bounds) : spec.ratePerSecond;
     const usableMs = computeUsableMs(spec, bounds);
     const decision = limit.takeFromShare(rate / this.#size, usableMs);
@@ -337,7 +248,7 @@
     if (activation !== this.#activation) return;
     const { schedule } = this.#options;
     this.#updateCoordinators();
-    this.#groups.forEach((group) => this.#checkCoordinators(group));
+    this.#assignment.groups.forEach((group) => this.#checkCoordinators(group));
     this.#wakeWaiters();
     this.#limits.forEach((limit, key) => this.#maintainLimit(limit, key));
     schedule(() => this.#tick(activation), tickIntervalMs);
@@ -346,7 +257,7 @@
   /** Sends a message to the coordinator of a group, and to those before it, if one is due. */
   #checkCoordinators({ order, coordinator }: LimitGroup): void {
     const end = coordinator === undefined ? order.length : order.indexOf(coordinator) + 1;
-    order.slice(0, end).forEach((peer) => this.#renew(this.#getOrCreateLink(peer)));
+    order.slice(0, end).forEach((peer) => this.#renew(this.#assignment.getOrCreateLink(peer)));
   }
 
   #renew(link: CoordinatorLink): void {
@@ -371,18 +282,8 @@
     this.#pending.delete(limit);
   }
 
-  /** Assigns each group to the first coordinator that is not known to be lost. */
   #updateCoordinators(): void {
-    this.#groups.forEach((group) => {
-      const before = group.coordinator;
-      const next = group.order.find((peer) => !this.#getOrCreateLink(peer).isDown);
-      if (next === before) return;
-      group.setCoordinator(next);
-      [before, next].forEach((peer) => {
-        const link = peer === undefined ? undefined : this.#links.get(peer);
-        if (link) this.#sendSoon(link);
-      });
-    });
+    this.#assignment.assign((link) => this.#sendSoon(link));
     this.#detachFromReplaced();
   }
 
@@ -392,12 +293,8 @@
    */
   #detachFromReplaced(): void {
     const now = this.#options.clock.now();
-    const candidates = new Set(this.#groups.flatMap(({ order }) => order));
-    const used = new Map(this.#groups.map(({ id, coordinator }) => [id, coordinator]));
-    this.#links.forEach((link, peer) => {
-      const mayBeCounted = link.findCountedUntil((id) => used.get(id) !== peer) > now;
-      if (mayBeCounted && now - link.sentAt >= detachIntervalMs) this.#sendSoon(link);
-      else if (!mayBeCounted && !candidates.has(peer) && !link.isBusy) this.#links.delete(peer);
+    this.#assignment.reviewReplaced((link) => {
+      if (now - link.sentAt >= detachIntervalMs) this.#sendSoon(link);
     });
   }
 
@@ -445,17 +342,18 @@
   }
 
   #buildExchange(link: CoordinatorLink): Exchange {
-    const groups = this.#groups.filter(({ coordinator }) => coordinator === link.peer);
+    const groups = this.#assignment.listGroups(link.peer);
     const numbers = new Set(groups.map(({ number }) => number));
     const asked = [...this.#pending].flatMap((limit) => {
-      if (!numbers.has(computeGroup(limit.spec.key, this.#groups.length))) return [];
+      const group = this.#assignment.findGroup(limit.spec.key);
+      if (!group || !numbers.has(group.number)) return [];
       this.#pending.delete(limit);
       const question = limit.buildQuestion();
       return question ? [question] : [];
     });
-    const overlapsMs = groups.map((group) => this.#computeOverlapMs(group, link));
+    const overlapsMs = groups.map((group) => this.#assignment.computeOverlapMs(group, link));
     const request: QuotaRequest = {
-      groupCount: this.#groups.length,
+      groupCount: this.#assignment.groups.length,
       groups: [...numbers],
       overlapsMs: overlapsMs.some((ms) => ms > 0) ? overlapsMs : undefined,
       stamp: link.stamp,
@@ -465,24 +363,8 @@
     return { request, ids, asked, sentAt: this.#options.clock.now() };
   }
 
-  /**
-   * Computes the time for which other coordinators may count this instance in a group. After a change
-   * of the number of groups, any group of another division may contain the same limits.
-   */
-  #computeOverlapMs({ id }: LimitGroup, link: CoordinatorLink | undefined): number {
-    const now = this.#options.clock.now();
-    const division = id.slice(id.indexOf('/'));
-    const others = [...this.#links.values()].filter((other) => other !== link);
-    const times = others.map((other) =>
-      other.findCountedUntil((counted) => counted === id || !counted.endsWith(division)),
-    );
-    return Math.max(0, ...times.map((until) => until - now));
-  }
-
   #acceptResponse(link: CoordinatorLink, exchange: Exchange, response: QuotaResponse): void {
-    const isNeeded = this.#groups.some(
-      ({ coordinator, order }) => coordinator === undefined && order.includes(link.peer),
-    );
+    const isNeeded = this.#assignment.isNeeded(link.peer);
     const wasDown = link.isDown;
     const hasDetached = link.recordResponse(
       response,
@@ -496,8 +378,8 @@
     if (!response.isCounted) this.#sendSoon(link);
     // The others can now count this instance without an overlap.
     if (hasDetached) {
-      this.#groups.forEach(({ coordinator }) => {
-        const other = coordinator === undefined ? undefined : this.#links.get(coordinator);
+      this.#assignment.groups.forEach(({ coordinator }) => {
+        const other = this.#assignment.findLink(coordinator);
         if (other && other !== link) this.#sendSoon(other);
       });
     }
@@ -540,7 +422,7 @@
 
   #failOver(link: CoordinatorLink, { asked }: Exchange, reason: string): void {
     const { clock, onEvent } = this.#options;
-    const groups = this.#groups.filter(({ coordinator }) => coordinator === link.peer);
+    const groups = this.#assignment.listGroups(link.peer);
     this.#updateCoordinators();
     if (groups.length > 0) {
       this.#totals.failovers += 1;
--- a/packages/quota/src/index.ts
+++ b/packages/quota/src/index.ts
@@ -5,4 +5,5 @@
 export * from './limit.js';
 export * from './limiter.js';
 export * from './message.js';
+export * from './status.js';
 export * from './window.js';
