Give the handover test's turn the method that is called

Since the memory of responses is counted for all calls together, a response of unknown length is counted by Turn.keep, and the test's stand-in for a turn only had the method that was called before (reserve). The stand-in now has keep; no check changes.

--- a/packages/gateway/test/handover.test.ts
+++ b/packages/gateway/test/handover.test.ts
@@ -120,7 +120,7 @@
       request: { rawHeaders: ['Host', 'h'] },
       target: { pathAndQuery: '/' },
       cancellation: new Cancellation(),
-      turn: { reserve: () => true },
+      turn: { keep: () => true },
     },
     ...change,
   } as unknown as Call;
