Deny requests while no tolerance is left for two coordinators

A request under a limit ended with an exception in the limiter while its instance could be counted at two coordinators and no coordinator was in reach, if the bounds for limits are near 0 (quota_over and quota_slack, or warmup_over 1 and warmup_slack 0). Shown in the model of a fleet; what the caller gets from a running gateway was not tried.

Cause: the rate for that time is what the tolerance leaves beyond the start of a coordinator, over the time of an attachment. With a small tolerance it is below 0, or exactly 0, and RateWindow.setRate throws a RangeError.

The rate is now 0 at least, and an instance whose rate is 0 denies until the overlap has ended, which Retry-After states. The bounds stay accepted.

--- a/packages/quota/src/bounds.ts
+++ b/packages/quota/src/bounds.ts
@@ -136,6 +136,8 @@
 /**
  * Computes the rate of the limit for instances that may also count at another coordinator. It is so
  * low that what they get twice stays within the tolerance.
+ *
+ * @returns Tokens a second; 0 when the tolerance leaves nothing that may be granted twice.
  */
 export function computeOverlapRate(limit: LimitSpec, bounds: QuotaBounds): number {
   const isEndpoint = isEndpointKey(limit.key);
@@ -144,7 +146,7 @@
     ? tolerance * warmupOverlapShare
     : tolerance * (1 - capacityShare) - computeStart(limit, bounds);
   const spanMs = Math.min(attachmentTtlMs, isEndpoint ? warmupWindowMs : bounds.quotaWindowMs);
-  return Math.min(limit.ratePerSecond, (tokens * 1000) / spanMs);
+  return Math.min(limit.ratePerSecond, (Math.max(0, tokens) * 1000) / spanMs);
 }
 
 /**
--- a/packages/quota/src/client.ts
+++ b/packages/quota/src/client.ts
@@ -203,8 +203,9 @@
     const { spec } = limit;
     const group = this.#findGroup(limit);
     const bounds = this.#options.getBounds();
-    const isOverlapping = group !== undefined && this.#assignment.computeOverlapMs(group) > 0;
-    const rate = isOverlapping ? computeOverlapRate(spec, bounds) : spec.ratePerSecond;
+    const overlapMs = group === undefined ? 0 : this.#assignment.computeOverlapMs(group);
+    const rate = overlapMs > 0 ? computeOverlapRate(spec, bounds) : spec.ratePerSecond;
+    if (rate === 0) return this.#deny(limit, 'own-share', overlapMs);
     const usableMs = computeUsableMs(spec, bounds);
     const decision = limit.takeFromShare(rate / this.#size, usableMs);
     if (decision.kind === 'granted') this.#totals.granted += 1;
--- a/packages/quota/test/fleet.test.ts
+++ b/packages/quota/test/fleet.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import type { InstanceId, LimitKey } from '@dotterelpass/values';
+import { defaultQuotaBounds } from '../src/index.js';
 import type { LimitSpec } from '../src/index.js';
 import { SimulatedFleet, countWindows, makeDemand } from './fleet.js';
 
@@ -301,6 +302,45 @@
     expect(max).toBeLessThanOrEqual(computeBound(after));
   });
 
+  /**
+   * Guards against a rate below 0 or of 0 while two coordinators may count an instance, which ended the
+   * request with an exception.
+   */
+  it.each(
+    [
+      { quotaOver: 0, quotaSlack: 0 },
+      { quotaOver: 0, quotaSlack: 1 },
+      { quotaOver: 0.01, quotaSlack: 0.5 },
+      { warmupOver: 1, warmupSlack: 0 },
+      { warmupOver: 1, warmupSlack: 0.1 },
+    ].flatMap((change) =>
+      ['workspace:office', 'endpoint:a'].map((key) => ({ change, key: key as LimitKey })),
+    ),
+  )('serves or denies each request of $key with the bounds $change', async ({ change, key }) => {
+    const fleet = new SimulatedFleet(8, seed, 3, { ...defaultQuotaBounds, ...change });
+    const limit = { ...makeLimit(20, 5), key };
+    const failures: unknown[] = [];
+    let asked = 0;
+    let decided = 0;
+    await fleet.run(12_000, (now) => {
+      if (now === 4000) Object.assign(fleet, { canReach: () => false });
+      if (now === 8000) reachesAll(fleet);
+      if (now > 11_000 || now % 25 !== 0) return;
+      asked += 1;
+      fleet.take(pickAny(fleet)(now), limit).then(
+        () => {
+          decided += 1;
+        },
+        (error: unknown) => failures.push(error),
+      );
+    });
+    expect(failures).toEqual([]);
+    expect(decided).toBe(asked);
+    expect(fleet.grants.length).toBeGreaterThan(0);
+    expect(fleet.denials.every(({ retryAfterMs }) => retryAfterMs > 0)).toBe(true);
+    expect(fleet.denials.every(({ retryAfterMs }) => Number.isFinite(retryAfterMs))).toBe(true);
+  });
+
   /** Guards against faults in combinations that no table names. */
   it('is kept under random faults', async () => {
     const fault = fc.record({
--- a/packages/quota/test/fleet.ts
+++ b/packages/quota/test/fleet.ts
@@ -6,6 +6,7 @@
 import { QuotaClient, QuotaCoordinator, QuotaTransport, defaultQuotaBounds } from '../src/index.js';
 import type {
   LimitSpec,
+  QuotaBounds,
   QuotaDecision,
   QuotaEvent,
   QuotaFailure,
@@ -112,11 +113,14 @@
 
   readonly #seed: number;
 
+  readonly #bounds: QuotaBounds;
+
   #started = 0;
 
-  constructor(count: number, seed: number, domains = 3) {
+  constructor(count: number, seed: number, domains = 3, bounds = defaultQuotaBounds) {
     this.random = makeRandom(seed);
     this.#seed = seed;
+    this.#bounds = bounds;
     for (let index = 0; index < count; index++) {
       this.instances.push(this.#create(`instance-${index}` as InstanceId, index % domains));
     }
@@ -239,7 +243,7 @@
     this.#started += 1;
     const random = makeRandom(this.#seed * 10_007 + this.#started);
     const { clock } = this;
-    const getBounds = () => defaultQuotaBounds;
+    const getBounds = () => this.#bounds;
     const coordinator = new QuotaCoordinator({ clock, random, getBounds });
     const client: QuotaClient = new QuotaClient({
       self: id,
