--- a/review/standins-3/bed.js
+++ b/review/standins-3/bed.js
@@ -120,6 +120,13 @@
     this.#recordPath = recordPath;
     this.#contracts = contracts;
     writeFileSync(recordPath, '');
+    // However the script ends, the gateways end with it.
+    process.once('exit', () => this.#stopGateways());
+    ['SIGINT', 'SIGTERM'].forEach((signal) => process.once(signal, () => process.exit(2)));
+  }
+
+  #stopGateways() {
+    this.gateways.forEach(({ child }) => child.kill('SIGKILL'));
   }
 
   /** Milliseconds since the start. */
@@ -298,7 +305,7 @@
   }
 
   close() {
-    this.gateways.forEach(({ child }) => child.kill('SIGKILL'));
+    this.#stopGateways();
     this.workers.forEach((worker) => worker.close());
     this.store.close();
     rmSync(this.#folder, { recursive: true, force: true });
