Ban requests at which endpoints crash behind the head of their answer

Cause: evidence was tied to one end of an attempt, a reset before the head. A crash behind the head, after the deadline or after the caller had left was not looked at, and the head of a large answer even spoke for its request.

CrashMonitor notices crashes by calls, idle connections, refused connections and new registrations. An endpoint with an idle connection that outlives the others by 50 ms has not crashed. Answers speak for a request when they are whole.

--- a/packages/gateway/src/body.ts
+++ b/packages/gateway/src/body.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import { ChunkPacer, FramingMeter, hasWholeBody } from '@dotterelpass/proxy';
+import { ChunkPacer, FramingMeter, hasFraming, hasWholeBody } from '@dotterelpass/proxy';
 import type { ResponseTurn } from '@dotterelpass/proxy';
 import { ByteCollector } from '@dotterelpass/values';
 import { createCancelledFailure, discardAnswer } from './call.js';
@@ -120,10 +120,10 @@
   const body = await readResponseBody(response, leftMs, incoming.turn);
   if (body.kind === 'large') return answer;
   if (body.kind === 'whole') {
-    finish('answered');
+    finish('answered', hasFraming(response) ? 'answered' : 'closed');
     return { ...answer, bufferedBody: body.bytes, finish: () => undefined };
   }
-  finish('failed');
+  finish('failed', body.isExpired ? 'abandoned' : 'broken');
   return createCutFailure(body);
 }
 
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -11,6 +11,7 @@
 } from '@dotterelpass/values';
 import type { Workspace } from '@dotterelpass/workspaces';
 import type { Route } from './catalog.js';
+import type { RunEnding } from './crashes.js';
 import type { AttemptEnding } from './endpoint.js';
 
 /** A call in progress. */
@@ -106,7 +107,8 @@
       readonly isSuccess: boolean;
       /** Why a status that may be retried was not. */
       readonly retryBlock?: RetryBlock;
-      finish(ending: AttemptEnding): void;
+      /** Ends the attempt, unless the body is buffered: it has ended then. */
+      finish(ending: AttemptEnding, run: RunEnding): void;
     }
   | {
       readonly kind: 'failed';
@@ -163,7 +165,7 @@
   ending: AttemptEnding,
 ): void {
   if (bufferedBody === undefined) response.destroy();
-  finish(ending);
+  finish(ending, 'abandoned');
 }
 
 /** Combines the verdicts of two attempts: a call is `not-run` only when all its attempts are. */
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -4,6 +4,7 @@
   ClassName,
   EndpointId,
   FailureDomain,
+  Incarnation,
   ServiceId,
 } from '@dotterelpass/values';
 
@@ -79,6 +80,12 @@
   readonly warmupMs: number;
 }
 
+/** @returns The name of the present incarnation of an endpoint, which may keep its id when it restarts. */
+export function getIncarnation({ id, startedAtMs }: Registration): Incarnation {
+  const name: string = startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
+  return name as Incarnation;
+}
+
 /** The parts of a call that determine its class. */
 export interface ClassifiedCall {
   readonly route: Pick<Route, 'repeat' | 'priority'>;
--- a/packages/gateway/src/crashes.ts
+++ b/packages/gateway/src/crashes.ts
@@ -1,160 +1,166 @@
-import { SuspectTable } from '@dotterelpass/suspects';
-import type { Logger } from '@dotterelpass/telemetry';
-import type { Clock, Incarnation } from '@dotterelpass/values';
-import type { Registration } from './catalog.js';
-
-/** Number of endpoint crashes after which a request is banned, counted over all instances. */
-const crashesToBan = 2;
-
-/** Time after which earlier crashes and answers no longer count. */
-const evidenceTtlMs = 600_000;
-
-const maxTrackedRequests = 4096;
-
-/** Maximum number of successful answers of a request that count, one against each crash. */
-const maxAnswers = 64;
-
-/** What a crash means for a request that the endpoint ran. */
-export type CrashFinding =
-  /** The request was answered elsewhere, so another one has crashed the endpoint. */
-  | 'cleared'
-  /** The request has crashed no other endpoint as far as this instance knows. */
-  | 'suspect'
-  | 'banned';
-
-/** A value of a `RecentMap`, and the monotonic time of its last change, in milliseconds. */
-interface Evidence<Value> {
-  readonly value: Value;
-  readonly lastAtMs: number;
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { RequestDigest } from '@dotterelpass/proxy';
+import { UnfinishedRuns } from '@dotterelpass/suspects';
+import type { CrashTable } from '@dotterelpass/suspects';
+import type { Logger, Metrics } from '@dotterelpass/telemetry';
+import type { Clock, Incarnation, RequestId } from '@dotterelpass/values';
+import { getIncarnation } from './catalog.js';
+import type { Endpoint } from './endpoint.js';
+
+/** Time in which an exiting process closes all of its connections and its port, in milliseconds. */
+const exitMs = 50;
+
+/** How the run of a request at an endpoint ended, as far as this instance has seen it. */
+export type RunEnding =
+  /** With a whole response. */
+  | 'answered'
+  /** With a response that ends with its connection, as the endpoint may have done, too. */
+  | 'closed'
+  /** The connection ended before the response did. */
+  | 'broken'
+  /** This instance ended the connection: the caller has left, or the deadline has passed. */
+  | 'abandoned'
+  /** The endpoint has not got the request, or says that it has not run it. */
+  | 'not-run';
+
+/** The request of a run. */
+interface RunRequest {
+  readonly id: RequestId | undefined;
+  readonly digest: RequestDigest;
+}
+
+/** A run of a request at an endpoint. Times are monotonic, in milliseconds. */
+export interface EndpointRun {
+  readonly call: RunRequest & { readonly deadlineAt: number };
+  readonly endpoint: Endpoint;
+  readonly startedAt: number;
+}
+
+export interface CrashMonitorOptions {
+  readonly table: CrashTable;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  /** Called when an endpoint has crashed while it ran a request that is a suspect because of it. */
+  onSuspect(fingerprint: string, incarnation: Incarnation): void;
+  /** Called when a request is banned because endpoints seem to have crashed while running it. */
+  onBan(fingerprint: string): void;
 }
 
 /**
- * Decides which requests crash endpoints, and bans them. The evidence:
+ * Notices that endpoints crash, and which requests they may have been running then: those whose run
+ * did not end with a whole response, whatever ended it here. An endpoint has crashed if
  *
- * - A request is a suspect when an endpoint crashes that runs it, and banned when another incarnation
- *   of an endpoint crashes, too, on this instance or on another one.
- * - Each successful answer to the same request (method, host, path with query, and body) outweighs
- *   one crash: a request that crashes endpoints is never answered, but a much used one runs on many
- *   endpoints at the time when these crash for another reason.
- * - A ban of another instance does not hold for a request that has been answered on this one.
+ * - it refuses connections, and none of those to it has outlived the one that ended, or
+ * - it registers anew under its id without having said that it leaves.
  */
-export class CrashTable {
-  readonly #log: Logger;
-
-  readonly #bans: SuspectTable;
-
-  /** Number of answers that outweigh no crash yet, by fingerprint. */
-  readonly #answers: RecentMap<number>;
+export class CrashMonitor {
+  readonly #options: CrashMonitorOptions;
 
-  /** Crashed incarnations of endpoints, by fingerprint. */
-  readonly #crashes: RecentMap<ReadonlySet<Incarnation>>;
+  readonly #runs: UnfinishedRuns<RunRequest>;
 
-  constructor(clock: Clock, log: Logger) {
-    this.#log = log;
-    this.#bans = new SuspectTable(clock);
-    this.#answers = new RecentMap(clock);
-    this.#crashes = new RecentMap(clock);
-  }
-
-  isBanned(fingerprint: string): boolean {
-    return this.#bans.findStatus(fingerprint) === 'banned';
-  }
-
-  /** @returns Whether a banned request has a fingerprint that begins so. */
-  hasBan(start: string): boolean {
-    return this.#bans
-      .list()
-      .some(({ fingerprint, standing }) => standing === 'banned' && fingerprint.startsWith(start));
-  }
+  /** Checks in progress. A crash ends all connections at once, so they share a result. */
+  readonly #checks = new Map<Endpoint, Promise<boolean>>();
 
-  /** Records a successful answer to a request. */
-  recordAnswer(fingerprint: string): void {
-    const answers = this.#answers.get(fingerprint) ?? 0;
-    this.#answers.set(fingerprint, Math.min(maxAnswers, answers + 1));
+  constructor(options: CrashMonitorOptions) {
+    this.#options = options;
+    this.#runs = new UnfinishedRuns(options.clock);
   }
 
   /**
-   * Records that an endpoint crashed while it ran a request.
+   * Records the end of a run.
    *
-   * @param fingerprint - Fingerprint of the request.
-   * @param incarnation - The incarnation of the endpoint that has ended.
-   * @returns What the crash means for the request.
+   * @param isSuccess - Whether the endpoint gave a successful answer.
    */
-  recordCrash(fingerprint: string, incarnation: Incarnation): CrashFinding {
-    const answers = this.#answers.get(fingerprint) ?? 0;
-    if (answers > 0) {
-      this.#answers.set(fingerprint, answers - 1);
-      return 'cleared';
+  recordEnd(run: EndpointRun, ending: RunEnding, isSuccess = false): void {
+    if (ending === 'not-run') return;
+    if (ending === 'answered') {
+      if (isSuccess) void this.#recordAnswer(run.call.digest);
+      return;
     }
-    const crashed = new Set(this.#crashes.get(fingerprint)).add(incarnation);
-    this.#crashes.set(fingerprint, crashed);
-    if (crashed.size < crashesToBan) return 'suspect';
-    this.#ban(fingerprint, 'local', [...crashed]);
-    return 'banned';
+    const { endpoint, startedAt } = run;
+    const { id, digest, deadlineAt } = run.call;
+    const incarnation = getIncarnation(endpoint.registration);
+    if (this.#runs.hasCrashedSince(incarnation, startedAt)) {
+      void this.#recordSuspect({ id, digest }, incarnation);
+      return;
+    }
+    const remove = this.#runs.add(incarnation, { id, digest }, deadlineAt);
+    if (ending === 'broken') void this.#checkEndpoint(endpoint);
+    if (ending !== 'closed') return;
+    void this.#checkEndpoint(endpoint).then((isAlive) => {
+      if (!isAlive) return;
+      remove();
+      if (isSuccess) void this.#recordAnswer(digest);
+    });
   }
 
-  /**
-   * Bans a request that another instance has banned, unless it has been answered on this instance.
-   *
-   * @returns Whether the request is banned.
-   */
-  acceptBan(fingerprint: string): boolean {
-    const isCleared = (this.#answers.get(fingerprint) ?? 0) > 0;
-    if (isCleared) this.#log.warn('ban-refuted', { fingerprint });
-    else this.#ban(fingerprint, 'fleet');
-    return !isCleared;
+  /** Records that an endpoint has ended a connection without a request, or refused a new one. */
+  recordLostConnection(endpoint: Endpoint): void {
+    const { registration } = endpoint;
+    // An endpoint that leaves ends its connections, too.
+    if (registration.state === 'draining' || !this.#runs.has(getIncarnation(registration))) return;
+    void this.#checkEndpoint(endpoint);
   }
 
-  /** Lifts a ban, because the request has been answered on another instance. */
-  liftBan(fingerprint: string): void {
-    this.#crashes.delete(fingerprint);
-    if (this.#bans.lift(fingerprint)) this.#log.warn('ban-lifted', { fingerprint });
+  /** Records that an endpoint runs anew under its id. */
+  recordRestart(endpoint: Endpoint): void {
+    if (endpoint.registration.state === 'ready') this.#recordCrash(endpoint, 'registered anew');
   }
 
-  #ban(
-    fingerprint: string,
-    source: 'local' | 'fleet',
-    incarnations: readonly Incarnation[] = [],
-  ): void {
-    if (this.isBanned(fingerprint)) return;
-    this.#bans.ban(fingerprint);
-    this.#log.warn('request-banned', { fingerprint, source, incarnations });
+  /** @returns Whether the endpoint is alive; false when this is not known, too. */
+  async #checkEndpoint(endpoint: Endpoint): Promise<boolean> {
+    const running = this.#checks.get(endpoint);
+    if (running) return running;
+    const check = this.#runCheck(endpoint).finally(() => this.#checks.delete(endpoint));
+    this.#checks.set(endpoint, check);
+    return check;
   }
-}
 
-/** @returns The name of the present incarnation of an endpoint, which may keep its id when it restarts. */
-export function getIncarnation({ id, startedAtMs }: Registration): Incarnation {
-  const name: string = startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
-  return name as Incarnation;
-}
-
-/** Map of a limited size whose entries expire some time after their last change. */
-class RecentMap<Value> {
-  readonly #clock: Clock;
-
-  /** The entries, in the order of their last changes. */
-  readonly #entries = new Map<string, Evidence<Value>>();
-
-  constructor(clock: Clock) {
-    this.#clock = clock;
+  async #runCheck(endpoint: Endpoint): Promise<boolean> {
+    await sleep(exitMs);
+    if (endpoint.pool.hasIdle) return true;
+    const state = await endpoint.pool.checkPort();
+    if (state === 'refuses') this.#recordCrash(endpoint, 'refuses connections');
+    return state === 'accepts';
   }
 
-  get(key: string): Value | undefined {
-    const entry = this.#entries.get(key);
-    const isFresh = entry && this.#clock.now() - entry.lastAtMs < evidenceTtlMs;
-    return isFresh ? entry.value : undefined;
+  #recordCrash(endpoint: Endpoint, evidence: string): void {
+    const { log, metrics } = this.#options;
+    const { registration } = endpoint;
+    const incarnation = getIncarnation(registration);
+    const requests = this.#runs.takeCrashed(incarnation);
+    endpoint.recordUnreachable();
+    if (requests.length === 0) return;
+    metrics.recordEvent('endpoint-crashed', registration.service);
+    log.warn('endpoint-crashed', { incarnation, evidence, requests: requests.length });
+    requests.forEach((request) => {
+      void this.#recordSuspect(request, incarnation);
+    });
   }
 
-  set(key: string, value: Value): void {
-    this.#entries.delete(key);
-    this.#entries.set(key, { value, lastAtMs: this.#clock.now() });
-    const [oldest] = this.#entries.keys();
-    if (this.#entries.size > maxTrackedRequests && oldest !== undefined) {
-      this.#entries.delete(oldest);
+  async #recordSuspect({ id, digest }: RunRequest, incarnation: Incarnation): Promise<void> {
+    const { table, log, onSuspect, onBan } = this.#options;
+    const fingerprint = digest.value ?? (await digest.wait());
+    const fields = { incarnation, requestId: id, fingerprint };
+    if (fingerprint === undefined) {
+      log.warn('crash-unattributed', { ...fields, reason: 'the body was not complete' });
+      return;
+    }
+    const wasBanned = table.isBanned(fingerprint);
+    const finding = table.recordCrash(fingerprint, incarnation);
+    log.warn('request-suspected', { ...fields, finding });
+    if (finding === 'suspect') onSuspect(fingerprint, incarnation);
+    if (finding !== 'banned') return;
+    if (!wasBanned) {
+      const incarnations = table.listCrashes(fingerprint);
+      log.warn('request-banned', { fingerprint, source: 'local', incarnations });
     }
+    onBan(fingerprint);
   }
 
-  delete(key: string): void {
-    this.#entries.delete(key);
+  async #recordAnswer(digest: RequestDigest): Promise<void> {
+    const fingerprint = digest.value ?? (await digest.wait());
+    if (fingerprint !== undefined) this.#options.table.recordAnswer(fingerprint);
   }
 }
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -66,6 +66,8 @@
 
   readonly #pool: ConnectionPool;
 
+  readonly #onConnectionLost: (endpoint: Endpoint) => void;
+
   /** What the endpoint asks for in its answers. */
   readonly backpressure: EndpointBackpressure;
 
@@ -76,10 +78,12 @@
     maxConnections: number,
     clock: Clock,
     backpressure: EndpointBackpressure,
+    onConnectionLost: (endpoint: Endpoint) => void = () => undefined,
   ) {
     this.backpressure = backpressure;
     this.#clock = clock;
     this.#registration = registration;
+    this.#onConnectionLost = onConnectionLost;
     this.warmup = new EndpointWarmup(clock, registration.warmupMs);
     this.#pool = new ConnectionPool(registration.address, maxConnections, {
       connectTimeoutMs,
@@ -87,6 +91,7 @@
       allowCloseDelimited: true,
       // Stalled idempotent calls are hedged instead.
       stallMs: Infinity,
+      onIdleLost: () => onConnectionLost(this),
     });
   }
 
@@ -250,6 +255,7 @@
     this.#report = undefined;
     this.#reportedAt = -Infinity;
     this.#isFull = false;
+    this.#onConnectionLost(this);
   }
 
   /** @returns The state of the endpoint as JSON, for operators. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
 import { RetryBudget } from '@dotterelpass/retries';
 import { defaultQuotaBounds } from '@dotterelpass/quota';
 import type { FleetLimiter, QuotaBounds } from '@dotterelpass/quota';
+import { CrashTable } from '@dotterelpass/suspects';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
 import type {
   Clock,
@@ -15,16 +16,14 @@
 import { CallAdmission } from './admission.js';
 import { BackpressureRecorder } from './backpressure.js';
 import { CallSender } from './sender.js';
-import type { Call } from './call.js';
 import { CallHandler } from './handler.js';
 import { CallHandover } from './handover.js';
 import { CallerIdentifier } from './identity.js';
 import { MarkSigner } from './mark.js';
 import type { PlannedStop } from './handler.js';
 import type { CallerBounds, GatewayConfig, Registration } from './catalog.js';
-import { CrashTable, getIncarnation } from './crashes.js';
+import { CrashMonitor } from './crashes.js';
 import type { HeaderCodec } from './codec.js';
-import type { Endpoint } from './endpoint.js';
 import { CallerTimeouts } from './timeouts.js';
 import { Picker } from './picker.js';
 import { EndpointPreference } from './preference.js';
@@ -135,7 +134,8 @@
     this.#startedAt = options.clock.now();
     const { clock, random, log, metrics, headerCodec, limits } = options;
     this.#limits = limits;
-    this.#crashes = new CrashTable(clock, log);
+    this.#crashes = new CrashTable(clock);
+    const crashMonitor = new CrashMonitor({ ...options, table: this.#crashes });
     this.#budget = new RetryBudget(clock, {
       share: limits.retryShare * limitSafetyFactor,
       allowance: this.#calculateAllowance(),
@@ -159,6 +159,8 @@
       getFleetSize: () => this.#fleetSize,
       calculateConnectionLimit: (service) => this.#calculateConnectionLimit(service),
       onListed: (endpoint) => warmup.reportChange(endpoint, 'registration'),
+      onConnectionLost: (endpoint) => crashMonitor.recordLostConnection(endpoint),
+      onRestart: (endpoint) => crashMonitor.recordRestart(endpoint),
     });
     this.#prober = new Prober({
       headerCodec,
@@ -188,9 +190,7 @@
       latency: this.#latency,
       findEvacuation: (service) => this.#registry.findEvacuation(service),
       retries: new RetryPolicy({ budget: this.#budget, latency: this.#latency, metrics }),
-      onConnectionReset: (call, endpoint) => {
-        void this.#checkCrash(call, endpoint);
-      },
+      crashes: crashMonitor,
     });
     this.#reach = new ReachMonitor({
       clock,
@@ -375,12 +375,17 @@
 
   /** See {@link CrashTable.acceptBan}. */
   acceptBan(fingerprint: string): boolean {
-    return this.#crashes.acceptBan(fingerprint);
+    const wasBanned = this.#crashes.isBanned(fingerprint);
+    const isBanned = this.#crashes.acceptBan(fingerprint);
+    const { log } = this.#options;
+    if (!isBanned) log.warn('ban-refuted', { fingerprint });
+    else if (!wasBanned) log.warn('request-banned', { fingerprint, source: 'fleet' });
+    return isBanned;
   }
 
   /** See {@link CrashTable.liftBan}. */
   liftBan(fingerprint: string): void {
-    this.#crashes.liftBan(fingerprint);
+    if (this.#crashes.liftBan(fingerprint)) this.#options.log.warn('ban-lifted', { fingerprint });
   }
 
   /**
@@ -415,21 +420,4 @@
     if (!spec) return undefined;
     return Math.max(2, Math.floor((spec.maxConnections * connectionShare) / this.#fleetSize));
   }
-
-  /** Counts a broken connection as a crash if the endpoint also refuses new connections. */
-  async #checkCrash(call: Call, endpoint: Endpoint): Promise<void> {
-    if (!(await endpoint.pool.isRefusingConnections())) return;
-    endpoint.recordUnreachable();
-    const incarnation = getIncarnation(endpoint.registration);
-    const fingerprint = await call.digest.wait();
-    if (fingerprint === undefined) {
-      this.#options.log.warn('endpoint-crashed', { incarnation, requestId: call.id });
-      return;
-    }
-    const finding = this.#crashes.recordCrash(fingerprint, incarnation);
-    const { log, onSuspect, onBan } = this.#options;
-    log.warn('endpoint-crashed', { incarnation, requestId: call.id, fingerprint, finding });
-    if (finding === 'suspect') onSuspect(fingerprint, incarnation);
-    if (finding === 'banned') onBan(fingerprint);
-  }
 }
--- a/packages/gateway/src/handler.ts
+++ b/packages/gateway/src/handler.ts
@@ -1,12 +1,14 @@
 import {
   copyEndToEndHeaders,
   forwardResponseBody,
+  hasFraming,
   readBody,
   refuse,
   StreamTable,
 } from '@dotterelpass/proxy';
 import type { IncomingCall, Refusal } from '@dotterelpass/proxy';
 import type { LogFields } from '@dotterelpass/telemetry';
+import type { CrashTable } from '@dotterelpass/suspects';
 import type { Random } from '@dotterelpass/values';
 import type { RejectionCause } from '@dotterelpass/workspaces';
 import { match } from 'ts-pattern';
@@ -20,7 +22,6 @@
 import type { Call, CallFailure, CallResponse, CallResult, CallTrace } from './call.js';
 import { getCallClass, getCallPriority } from './catalog.js';
 import type { CallerBounds, Route } from './catalog.js';
-import type { CrashTable } from './crashes.js';
 import type { HeaderCodec } from './codec.js';
 import type { CallerTimeouts } from './timeouts.js';
 import type { LatencyEstimator } from './latency.js';
@@ -354,7 +355,6 @@
       this.#options.headerCodec.internalResponseHeaders,
     );
     const reason = status < 400 ? 'served' : 'endpoint-failed';
-    if (status < 400) void this.#recordAnswer(call);
     if (bufferedBody !== undefined) {
       const hasLength = upstreamResponse.headers['content-length'] !== undefined;
       const isBodiless = call.method === 'HEAD' || status === 204 || status === 304;
@@ -371,17 +371,15 @@
       streams: this.#streams,
       timeoutMs: Math.max(minCallMs, call.deadlineAt - performance.now()),
     });
-    finish(result === 'cut' ? 'failed' : 'answered');
+    const isBroken = result === 'cut' && !isExpired;
+    if (result === 'whole')
+      finish('answered', hasFraming(upstreamResponse) ? 'answered' : 'closed');
+    else finish(result === 'cut' ? 'failed' : 'answered', isBroken ? 'broken' : 'abandoned');
     if (result === 'whole') return { status, verdict: 'ran', reason };
     const timedOutIn = isExpired ? 'response-body' : undefined;
     return { status, verdict: 'ran', reason: `answer-${result}`, timedOutIn };
   }
 
-  async #recordAnswer({ digest }: Call): Promise<void> {
-    const fingerprint = digest.value ?? (await digest.wait());
-    if (fingerprint !== undefined) this.#options.crashes.recordAnswer(fingerprint);
-  }
-
   #respondWithRefusal(
     { response, turn, id }: IncomingCall,
     refusal: Refusal,
--- a/packages/gateway/src/registry.ts
+++ b/packages/gateway/src/registry.ts
@@ -18,6 +18,10 @@
   calculateConnectionLimit(service: ServiceId): number | undefined;
   /** Called for each listed endpoint, also when its registration is unchanged. */
   onListed(endpoint: Endpoint): void;
+  /** Called when an endpoint has ended a connection without a request, or was not reached. */
+  onConnectionLost(endpoint: Endpoint): void;
+  /** Called when another process of an endpoint has registered itself, before it replaces this one. */
+  onRestart(endpoint: Endpoint): void;
 }
 
 /** Registered endpoints by service. */
@@ -160,7 +164,10 @@
       existing.setRegistration(registration);
       return hasNewState || hasMoved;
     }
-    if (existing) this.#remove(registration.id, 'restarted');
+    if (existing) {
+      this.#options.onRestart(existing);
+      this.#remove(registration.id, 'restarted');
+    }
     const connections =
       this.#options.calculateConnectionLimit(registration.service) ?? fallbackConnections;
     const { id, service, address, failureDomain, state, startedAtMs } = registration;
@@ -170,6 +177,7 @@
       connections,
       this.#options.clock,
       this.#backpressure.getOrCreate(id, incarnation),
+      this.#options.onConnectionLost,
     );
     this.#endpoints.set(id, endpoint);
     this.#options.log.info('endpoint-added', {
--- a/packages/gateway/src/screen.ts
+++ b/packages/gateway/src/screen.ts
@@ -2,7 +2,7 @@
 import type { Refusal, RequestBody, RequestDigest, StreamedBody } from '@dotterelpass/proxy';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { CrashTable } from './crashes.js';
+import type { CrashTable } from '@dotterelpass/suspects';
 import { maxUploadBytes } from './uploads.js';
 import type { KeptBody, UploadMemory } from './uploads.js';
 
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -1,4 +1,4 @@
-import { isOnReusedConnection } from '@dotterelpass/proxy';
+import { hasFraming, isOnReusedConnection } from '@dotterelpass/proxy';
 import type { AttemptFailure, Cancellation } from '@dotterelpass/proxy';
 import type { FailureDomain, ServiceId, Verdict } from '@dotterelpass/values';
 import { isOverload, isPick } from './admission.js';
@@ -8,6 +8,7 @@
 import { createCancelledFailure, combineVerdicts, discardAnswer } from './call.js';
 import type { AttemptRecord, Call, CallResult, CallFailure, RetryBlock } from './call.js';
 import type { HeaderCodec } from './codec.js';
+import type { CrashMonitor, RunEnding } from './crashes.js';
 import type { AttemptEnding, Endpoint } from './endpoint.js';
 import { HeaderCopier } from './forwarding.js';
 import { calculateHedgeDelayMs, isSlowerThan, selectResult } from './hedge.js';
@@ -25,6 +26,9 @@
  */
 const hedgeBudgetShare = 0.5;
 
+/** Ends an attempt. */
+type FinishAttempt = (outcome: string, ending: AttemptEnding, run: RunEnding) => void;
+
 export interface CallSenderOptions {
   readonly headerCodec: HeaderCodec;
   readonly admission: CallAdmission;
@@ -35,8 +39,7 @@
   readonly retries: RetryPolicy;
   /** Returns the failure domains of a service's endpoints, if all of them are evacuated. */
   findEvacuation(service: ServiceId): readonly FailureDomain[] | undefined;
-  /** Called when a connection was reset while the endpoint may have been running a call. */
-  onConnectionReset(call: Call, endpoint: Endpoint): void;
+  readonly crashes: CrashMonitor;
 }
 
 /** Sends calls to endpoints, with retries and hedged requests where these are safe. */
@@ -208,7 +211,7 @@
     records: AttemptRecord[],
     cancellation: Cancellation,
   ): Promise<CallResult> {
-    const { headerCodec, latency, admission, backpressure } = this.#options;
+    const { headerCodec, latency, admission, backpressure, crashes } = this.#options;
     const startedAt = performance.now();
     const { id } = endpoint.registration;
     const record: AttemptRecord = {
@@ -240,10 +243,12 @@
       mayCancelSent: !isOnce,
       requiresFreshConnection: isOnce,
     });
-    const finish = (outcome: string, ending: AttemptEnding) => {
+    let isSuccess = false;
+    const finish: FinishAttempt = (outcome, ending, run) => {
       record.outcome = outcome;
       record.ms = Math.round(performance.now() - startedAt);
       endpoint.endCall(ending);
+      crashes.recordEnd({ call, endpoint, startedAt }, run, isSuccess);
       admission.notifyCapacity(call.service);
     };
     if (sentResult.isErr()) {
@@ -254,12 +259,13 @@
     const { headers } = response;
     const isReused = isOnReusedConnection(response);
     const head = { status: response.statusCode ?? 0, headers, isReused };
+    isSuccess = head.status < 400;
     const classification = headerCodec.classifyResponse(head, call.id);
     const report = headerCodec.parseLoadReport(headers);
     if (classification.kind === 'invalid') {
       response.on('error', () => undefined);
       response.destroy();
-      finish('invalid', 'failed');
+      finish('invalid', 'failed', 'abandoned');
       const { message } = classification;
       return { kind: 'failed', verdict: 'may-have-run', reason: 'invalid', message };
     }
@@ -273,7 +279,7 @@
     );
     if (classification.kind === 'not-run') {
       if (body.kind === 'large') response.destroy();
-      finish(classification.reason, 'shed');
+      finish(classification.reason, 'shed', 'not-run');
       if (report) endpoint.recordReport(report);
       if (classification.reason === 'other-endpoint') {
         token.giveBack();
@@ -284,8 +290,11 @@
     }
     if (body.kind === 'cut') {
       const isCancelled = cancellation.aborted;
-      finish(isCancelled ? 'cancelled' : 'cut', isCancelled ? 'cancelled' : 'failed');
-      if (isCancelled) return { ...createCancelledFailure(), verdict: 'may-have-run' };
+      if (isCancelled) {
+        finish('cancelled', 'cancelled', 'abandoned');
+        return { ...createCancelledFailure(), verdict: 'may-have-run' };
+      }
+      finish('cut', 'failed', body.isExpired ? 'abandoned' : 'broken');
       return createCutFailure(body);
     }
     const idleTimeoutMs = parseIdleTimeoutMs(headers['keep-alive']);
@@ -299,16 +308,16 @@
       latency.recordSlowdown(call.service, report.slowdown);
     }
     if (body.kind === 'large') {
-      const finishStream = (ending: AttemptEnding) => finish('streamed', ending);
       return {
         kind: 'answer',
         response,
         bufferedBody: undefined,
         isSuccess: classification.isSuccess,
-        finish: finishStream,
+        finish: (ending, run) => finish('streamed', ending, run),
       };
     }
-    finish(String(head.status), isFailed ? 'failed' : 'answered');
+    const run = hasFraming(response) ? 'answered' : 'closed';
+    finish(String(head.status), isFailed ? 'failed' : 'answered', run);
     const { bytes: bufferedBody } = body;
     return {
       kind: 'answer',
@@ -323,27 +332,27 @@
     call: Call,
     endpoint: Endpoint,
     { kind, verdict, message }: AttemptFailure,
-    finish: (outcome: string, ending: AttemptEnding) => void,
+    finish: FinishAttempt,
   ): CallFailure {
     if (kind === 'cancelled') {
-      finish('cancelled', 'cancelled');
+      finish('cancelled', 'cancelled', verdict === 'not-run' ? 'not-run' : 'abandoned');
       return { ...createCancelledFailure(), verdict };
     }
     if (verdict === 'not-run' && kind === 'timeout') {
       // The deadline passed in the queue for a connection, which says nothing of the endpoint.
-      finish('no-connection', 'cancelled');
+      finish('no-connection', 'cancelled', 'not-run');
       return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'connection', message };
     }
     if (verdict === 'not-run' && endpoint.isEvacuated) {
-      finish('evacuated', 'cancelled');
+      finish('evacuated', 'cancelled', 'not-run');
       return { kind: 'failed', verdict, reason: 'no-endpoint', message };
     }
     if (verdict === 'not-run') {
-      finish('unreachable', 'unreachable');
+      finish('unreachable', 'unreachable', 'not-run');
       return { kind: 'failed', verdict, reason: 'no-endpoint', message };
     }
-    finish(kind, kind === 'bad-body' ? 'cancelled' : 'failed');
-    if (kind === 'reset') this.#options.onConnectionReset(call, endpoint);
+    const run = kind === 'reset' ? 'broken' : 'abandoned';
+    finish(kind, kind === 'bad-body' ? 'cancelled' : 'failed', run);
     if (kind === 'timeout') {
       return { kind: 'failed', verdict, reason: 'timeout', timedOutIn: 'response-head', message };
     }
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -133,6 +133,8 @@
 
   readonly #endpoints: Server[] = [];
 
+  #endpointPorts: readonly number[] = [];
+
   #port = 0;
 
   #version = 0;
@@ -173,9 +175,9 @@
     return this.#port;
   }
 
-  /** Ports of the endpoints. */
-  get endpointPorts(): number[] {
-    return this.#endpoints.map((server) => (server.address() as AddressInfo).port);
+  /** Ports of the endpoints, also of those that are closed. */
+  get endpointPorts(): readonly number[] {
+    return this.#endpointPorts;
   }
 
   /** Registrations of the endpoints. */
@@ -215,7 +217,21 @@
     await this.#startGateway();
   }
 
+  /** Closes the port of an endpoint, as the end of its process does. */
+  closeEndpoint(index: number): void {
+    this.#endpoints[index]?.close();
+  }
+
+  /** Opens the port of an endpoint again. */
+  async reopenEndpoint(index: number): Promise<void> {
+    const [server, port] = [this.#endpoints[index] as Server, this.#endpointPorts[index]];
+    await new Promise<void>((resolve) => {
+      server.listen(port, '127.0.0.1', resolve);
+    });
+  }
+
   async #startGateway(): Promise<void> {
+    this.#endpointPorts = this.#endpoints.map((server) => (server.address() as AddressInfo).port);
     if (this.hasConfiguration) this.setRoute({});
     this.gateway.setRegistrations(this.registrations);
     this.#port = await this.gateway.callers.listen('127.0.0.1', 0);
--- a/packages/gateway/test/registry.test.ts
+++ b/packages/gateway/test/registry.test.ts
@@ -4,15 +4,18 @@
 import { makeRandom, systemClock } from '@dotterelpass/values';
 import type { EndpointId, FailureDomain, ServiceId } from '@dotterelpass/values';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { getIncarnation } from '../src/catalog.js';
 import type { Registration } from '../src/catalog.js';
 import { EndpointRegistry } from '../src/registry.js';
 
 const [serviceA, serviceB] = ['a', 'b'] as [ServiceId, ServiceId];
 
 let registry: EndpointRegistry;
+let restarted: Registration[];
 
 beforeEach(() => {
   setLogDestination({ write: () => undefined });
+  restarted = [];
   registry = new EndpointRegistry({
     clock: systemClock,
     random: makeRandom(1),
@@ -20,6 +23,8 @@
     getFleetSize: () => 1,
     calculateConnectionLimit: () => 1,
     onListed: () => undefined,
+    onConnectionLost: () => undefined,
+    onRestart: (endpoint) => restarted.push(endpoint.registration),
   });
 });
 
@@ -131,3 +136,19 @@
     server.close();
   });
 });
+
+describe('incarnations of endpoints', () => {
+  it.each([
+    { startedAtMs: undefined, expected: 'i-1' },
+    { startedAtMs: 17, expected: 'i-1@17' },
+  ])('are named $expected', ({ startedAtMs, expected }) => {
+    expect(getIncarnation(makeRegistration('i-1', 'z1', { startedAtMs }))).toBe(expected);
+  });
+
+  it('tells which one a new one replaces', () => {
+    [1, 1, 2].forEach((startedAtMs) => {
+      registry.setRegistrations([makeRegistration('i-1', 'z1', { startedAtMs })]);
+    });
+    expect(restarted.map(getIncarnation)).toEqual(['i-1@1']);
+  });
+});
--- a/packages/gateway/test/screen.test.ts
+++ b/packages/gateway/test/screen.test.ts
@@ -2,11 +2,10 @@
 import type { IncomingMessage } from 'node:http';
 import { digestRequest } from '@dotterelpass/proxy';
 import type { StreamedBody } from '@dotterelpass/proxy';
-import { createLogger } from '@dotterelpass/telemetry';
+import { CrashTable } from '@dotterelpass/suspects';
 import { ManualClock } from '@dotterelpass/values';
 import type { Result } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
-import { CrashTable } from '../src/crashes.js';
 import { RequestScreen } from '../src/screen.js';
 import { UploadMemory } from '../src/uploads.js';
 
@@ -41,7 +40,7 @@
 
 /** A screen that knows a ban of a request with these bytes. */
 async function makeScreen(banned: Buffer) {
-  const crashes = new CrashTable(new ManualClock(), createLogger('test'));
+  const crashes = new CrashTable(new ManualClock());
   crashes.acceptBan(await digestBytes(banned));
   return new RequestScreen(crashes, new UploadMemory());
 }
--- a/packages/proxy/src/agent.ts
+++ b/packages/proxy/src/agent.ts
@@ -28,6 +28,8 @@
    * fresh.
    */
   readonly freshMs: number;
+  /** Called when a connection without a request has ended, unless this side has closed it. */
+  readonly onIdleLost?: () => void;
 }
 
 /** A request, with the undocumented members that Node's HTTP client shares with its agents. */
@@ -244,7 +246,10 @@
   #remove(connection: Connection): void {
     this.#connections.delete(connection.socket);
     const index = this.#idle.indexOf(connection);
-    if (index >= 0) this.#idle.splice(index, 1);
+    if (index >= 0) {
+      this.#idle.splice(index, 1);
+      this.#limits.onIdleLost?.();
+    }
     if (this.size >= this.#limits.maxConnections) return;
     const next = this.#takeQueued();
     if (next) this.#open().startRequest(next);
--- a/packages/proxy/src/forward.ts
+++ b/packages/proxy/src/forward.ts
@@ -7,6 +7,18 @@
 import { abortResponse } from './refusal.js';
 import type { ResponseStream, StreamTable } from './streams.js';
 
+/** Whether a response says where its body ends; otherwise that is the end of its connection. */
+export function hasFraming(response: IncomingMessage): boolean {
+  const { headers, statusCode = 0 } = response;
+  return (
+    getRequestMethod(response) === 'HEAD' ||
+    statusCode === 204 ||
+    statusCode === 304 ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 /**
  * Checks the end of a response body. Node reports a body without a length or chunks as complete
  * however its connection has ended.
@@ -15,14 +27,7 @@
  * @returns Whether the body is whole as far as its framing shows.
  */
 export function hasWholeBody(response: IncomingMessage): boolean {
-  const { headers, statusCode = 0, socket } = response;
-  const hasFraming =
-    getRequestMethod(response) === 'HEAD' ||
-    statusCode === 204 ||
-    statusCode === 304 ||
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined;
-  return hasFraming || isEndedCleanly(socket);
+  return hasFraming(response) || isEndedCleanly(response.socket);
 }
 
 /** How the forwarding of a response ended. */
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -44,6 +44,9 @@
   readonly status?: number;
 }
 
+/** What the port of an endpoint does with a new connection; `silent` when that is not known in time. */
+export type PortState = 'accepts' | 'refuses' | 'silent';
+
 /** Limits of a pool. */
 export interface PoolLimits extends ConnectionLimits, StallLimits {
   /**
@@ -184,19 +187,29 @@
     return response;
   }
 
+  /** Opens and closes a connection, to see whether the endpoint accepts new ones. */
+  async checkPort(): Promise<PortState> {
+    return new Promise((resolve) => {
+      const socket = connect({ host: this.#host, port: this.#port });
+      socket.setTimeout(this.#limits.connectTimeoutMs, () => socket.destroy());
+      socket.on('connect', () => {
+        resolve('accepts');
+        socket.destroy();
+      });
+      socket.on('error', (error: NodeJS.ErrnoException) => {
+        if (error.code === 'ECONNREFUSED') resolve('refuses');
+      });
+      socket.on('close', () => resolve('silent'));
+    });
+  }
+
   /**
    * Checks whether the endpoint refuses new connections, as it does after its process has ended.
    *
    * @returns False when the endpoint accepts the connection or does not respond in time.
    */
   async isRefusingConnections(): Promise<boolean> {
-    return new Promise((resolve) => {
-      const socket = connect({ host: this.#host, port: this.#port });
-      socket.setTimeout(this.#limits.connectTimeoutMs, () => socket.destroy());
-      socket.on('connect', () => socket.destroy());
-      socket.on('error', (error: NodeJS.ErrnoException) => resolve(error.code === 'ECONNREFUSED'));
-      socket.on('close', () => resolve(false));
-    });
+    return (await this.checkPort()) === 'refuses';
   }
 
   /** Closes all connections. */
