Give early answers to callers whose connection closes after them

What callers saw: a caller with `Connection: close` that was still sending a body when the answer came (a 413 or 503 of the endpoint, or 502) got a closed connection.

Cause: Node destroys a connection right after the response that closes it, and what arrives of the body after that resets it.

--- a/packages/gateway/test/early.test.ts
+++ b/packages/gateway/test/early.test.ts
@@ -151,6 +151,28 @@
     20_000,
   );
 
+  /**
+   * Guards against an answer that its caller never gets, because the rest of the body has reset the
+   * connection that ends with the answer.
+   */
+  it.each(earlyAnswers)(
+    '$name is answered to a caller that reads after it has sent the body',
+    async ({ handle, status }) => {
+      await start(handle);
+      const [pieces, pieceBytes] = [20, 30_000];
+      caller.socket.pause();
+      const head = `Host: h\r\nConnection: close\r\nContent-Length: ${pieces * pieceBytes}`;
+      caller.write(`POST /file HTTP/1.1\r\n${head}\r\n\r\n`);
+      for (let piece = 0; piece < pieces; piece++) {
+        caller.write('x'.repeat(pieceBytes));
+        await sleep(10);
+      }
+      caller.socket.resume();
+      while (!caller.isClosed) await sleep(5);
+      expect(caller.statuses).toEqual([status]);
+    },
+  );
+
   // Guards against a caller that holds a connection and its memory by a body that never ends.
   it.each([
     { name: 'stops to send', write: () => undefined },
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -253,6 +253,7 @@
       this.#backlog,
     );
     this.#connections.set(socket, connection);
+    this.#delayDestroy(socket, connection);
     socket.on('close', () => {
       this.#connections.delete(socket);
       this.#holding.delete(connection);
@@ -375,6 +376,26 @@
     socket.once('close', () => clearTimeout(timer));
   }
 
+  /**
+   * Makes a connection outlive its last response until the request's body has been read, which Node
+   * destroys right after that response: what arrives of the body then would reset the connection
+   * before the caller has received the response.
+   */
+  #delayDestroy(socket: Socket, connection: CallerConnection): void {
+    const destroySoon = socket.destroySoon.bind(socket);
+    Object.assign(socket, {
+      destroySoon: () => {
+        const request = connection.lastResponse?.req;
+        if (!request || request.complete) {
+          destroySoon();
+          return;
+        }
+        socket.end();
+        request.once('end', destroySoon);
+      },
+    });
+  }
+
   /**
    * Reads and discards the rest of a body, so that the next request on the connection is read.
    * Closing the connection at once would reset it before the caller has received the response.
