Send a long body whole or not at all to the next endpoint

Cause: an upload began when its request had a socket, which could still be connecting, and took chunks from the caller's stream for an attempt that never reached an endpoint. Nothing said that the body was not whole any more.

Change: StreamedBody owns the stream. A reader takes it, and gives back all that was read, or the body is spent and no further attempt gets it. An attempt takes it when it has a connection. The circle of types between `ahead` and `body` goes with it. An upload of which nothing is lost is now sent on after a refusal, like other requests; the row on streamed bodies of failures.test.ts has a body of which a part is gone in its place.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -81,7 +81,7 @@
   | 'caller-left'
   /** The call may run once, and ran or may have run. */
   | 'may-have-run'
-  /** The body is too large to be kept for a further attempt. */
+  /** The body is too large to be kept, and an attempt has sent a part of it. */
   | 'streamed-body'
   /** `maxAttempts` of the route. */
   | 'attempts-used'
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -32,6 +32,9 @@
 /** Omits trailers of a body, which an endpoint may take for headers. */
 export function omitTrailers(body: RequestBody, names: ReadonlySet<string>): RequestBody {
   if (body.kind === 'none') return body;
-  if (body.kind === 'stream') return { ...body, omittedTrailers: names };
+  if (body.kind === 'stream') {
+    body.omitTrailers(names);
+    return body;
+  }
   return { ...body, trailers: body.trailers.filter(([name]) => !names.has(name.toLowerCase())) };
 }
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -55,7 +55,7 @@
       return records.length > maxUnreachedAttempts ? 'endpoints-unreachable' : undefined;
     }
     if (verdict !== 'not-run' && route.repeat !== 'idempotent') return 'may-have-run';
-    if (body.kind === 'stream') return 'streamed-body';
+    if (body.kind === 'stream' && !body.isAvailable) return 'streamed-body';
     if (sentCount >= route.maxAttempts) return 'attempts-used';
     if (records.length - sentCount > maxUnreachedAttempts) return 'endpoints-unreachable';
     const { budget, latency } = this.#options;
--- a/packages/gateway/src/screen.ts
+++ b/packages/gateway/src/screen.ts
@@ -59,11 +59,13 @@
     const mayComplete = () => digest.value !== undefined && !this.#crashes.isBanned(digest.value);
     const release = this.#memory.reserve(body);
     if (!release) {
-      return ok({ body: { ...body, mayComplete }, digest, release: () => undefined });
+      body.setCheck(mayComplete);
+      return ok({ body, digest, release: () => undefined });
     }
     const read = await readFurther(body, maxUploadBytes, timeoutMs);
     if (read.isOk() && read.value.kind === 'stream') {
-      return ok({ body: { ...read.value, mayComplete }, digest, release });
+      body.setCheck(mayComplete);
+      return ok({ body, digest, release });
     }
     if (read.isOk() && mayComplete()) return ok({ body: read.value, digest, release });
     release();
--- a/packages/gateway/src/uploads.ts
+++ b/packages/gateway/src/uploads.ts
@@ -1,4 +1,4 @@
-import { BodyAhead, ByteBudget } from '@dotterelpass/proxy';
+import { ByteBudget } from '@dotterelpass/proxy';
 import type { RequestBody, StreamedBody } from '@dotterelpass/proxy';
 
 /** Size up to which a streamed body may be kept in memory, in bytes. */
@@ -35,12 +35,11 @@
   readAhead(body: RequestBody): KeptBody {
     const releaseBytes = body.kind === 'stream' ? this.reserve(body) : undefined;
     if (body.kind !== 'stream' || !releaseBytes) return { body, release: () => undefined };
-    const ahead = new BodyAhead(body, maxUploadBytes);
-    ahead.start();
+    body.startReadingAhead(maxUploadBytes);
     const release = () => {
-      ahead.stop();
+      body.stopReadingAhead();
       releaseBytes();
     };
-    return { body: { ...body, ahead }, release };
+    return { body, release };
   }
 }
--- a/packages/gateway/test/bed.ts
+++ b/packages/gateway/test/bed.ts
@@ -1,6 +1,6 @@
 import { createServer, Server as HttpServer } from 'node:http';
 import type { IncomingHttpHeaders, IncomingMessage, RequestListener } from 'node:http';
-import { createServer as createTcpServer } from 'node:net';
+import { createServer as createTcpServer, Server as NetServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { FleetLimiter } from '@dotterelpass/quota';
 import { Metrics } from '@dotterelpass/telemetry';
@@ -114,6 +114,9 @@
   /** Connections that an endpoint takes from all instances, from the next `setRoute` on. */
   maxConnections = 1000;
 
+  /** Size limit of bodies, from the next `setRoute` on. */
+  maxBodyBytes = 1024 * 1024;
+
   /** Workspaces from the next `setRoute` on; without any, no keys are asked for. */
   workspaces: WorkspaceTable | undefined;
 
@@ -207,6 +210,12 @@
     await this.#startGateway();
   }
 
+  /** Starts the gateway in front of endpoints with servers of their own, which answer probes, too. */
+  async startServers(...servers: HttpServer[]): Promise<void> {
+    for (const server of servers) this.#endpoints.push(await listen(server));
+    await this.#startGateway();
+  }
+
   /**
    * Starts the gateway in front of endpoints that speak on sockets.
    *
@@ -217,9 +226,10 @@
     await this.#startGateway();
   }
 
-  /** Closes the port of an endpoint, as the end of its process does. */
+  /** Closes the port of an endpoint; its open connections live on. */
   closeEndpoint(index: number): void {
-    this.#endpoints[index]?.close();
+    // The method of the HTTP server would also close the idle ones.
+    NetServer.prototype.close.call(this.#endpoints[index]);
   }
 
   /** Opens the port of an endpoint again. */
@@ -269,7 +279,7 @@
         ]),
         bounds: {
           maxHeaderBytes: 16 * 1024,
-          maxBodyBytes: 1024 * 1024,
+          maxBodyBytes: this.maxBodyBytes,
           headersTimeoutMs: 10_000,
           idleMs: 60_000,
         },
--- a/packages/gateway/test/early.test.ts
+++ b/packages/gateway/test/early.test.ts
@@ -189,6 +189,34 @@
     expect(endpointSockets.size).toBe(0);
   });
 
+  /** Guards against a refusal although nothing of the body is lost, and another endpoint has room. */
+  it('refuses it is sent to another one, while all that came in is kept', async () => {
+    let refusals = 0;
+    const received: number[] = [];
+    const handle: RequestListener = (request, response) => {
+      refusals += 1;
+      if (refusals === 1) {
+        response.writeHead(503, { outcome: 'not-run' }).end();
+        return;
+      }
+      let size = 0;
+      request.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+      });
+      request.on('end', () => {
+        received.push(size);
+        response.end('whole');
+      });
+    };
+    await bed.start(handle, handle);
+    caller = new CallerSocket(bed.port);
+    caller.write('POST /file HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n');
+    caller.write('x'.repeat(300_000));
+    await caller.waitForResponses(1);
+    expect(caller.statuses).toEqual([200]);
+    expect(received).toEqual([300_000]);
+  });
+
   /** Guards against a body that an endpoint gets with other bytes in it, or in part. */
   it('reads it whole gets its bytes', async () => {
     const pieces = Array.from({ length: 10 }, (_, index) => String(index).repeat(50_000));
--- a/packages/gateway/test/failures.test.ts
+++ b/packages/gateway/test/failures.test.ts
@@ -29,6 +29,9 @@
   request.resume();
   response.writeHead(503, { outcome: 'not-run' }).end();
 };
+const shedBehindBody: RequestListener = (request, response) => {
+  request.resume().on('end', () => response.writeHead(503, { outcome: 'not-run' }).end());
+};
 const stopInBody =
   (length: number): RequestListener =>
   (_request, response) =>
@@ -71,6 +74,7 @@
   async function findFields(row: FailureCase) {
     await bed.start(...row.handlers);
     bed.maxConnections = row.maxConnections ?? bed.maxConnections;
+    bed.maxBodyBytes = 4 * 1024 * 1024;
     bed.setRoute(row.route ?? {});
     if (row.retryAllowance !== undefined) {
       bed.gateway.setLimits({
@@ -258,9 +262,9 @@
       expected: { status: 503, retryBlock: 'time-left', attempts: [{}] },
     },
     {
-      name: 'a body that was streamed',
-      requests: [formatPost('/', 100_000, 'x'.repeat(100_000), id)],
-      handlers: [shed, shed],
+      name: 'a body of which a part is gone',
+      requests: [formatPost('/', 2_000_000, 'x'.repeat(2_000_000), id)],
+      handlers: [shedBehindBody, shedBehindBody],
       expected: { status: 503, retryBlock: 'streamed-body', attempts: [{}] },
     },
     {
--- a/packages/gateway/test/handover.test.ts
+++ b/packages/gateway/test/handover.test.ts
@@ -11,6 +11,7 @@
 import { MarkSigner, parseHandover } from '../src/mark.js';
 import type { Reach } from '../src/reach.js';
 import { invalidStatusLines } from './raw.js';
+import { makeStreamedBody } from './streamed.js';
 
 const service = 'a' as ServiceId;
 
@@ -212,9 +213,9 @@
     { name: 'resets', answers: { a: '', b: '' }, expected: 'reset may-have-run' },
   ])('asks one peer with a streamed body: $name', async ({ answers, expected }) => {
     await startPeers(answers);
-    const rest = Object.assign(Readable.from([Buffer.from('world')]), { rawTrailers: [] });
-    const body = { kind: 'stream', head: Buffer.from('hello'), rest, length: 10, maxBytes: 100 };
-    const { result, trace } = await send({ body } as never);
+    const rest = Readable.from([Buffer.from('world')]);
+    const body = makeStreamedBody(Buffer.from('hello'), rest, 10);
+    const { result, trace } = await send({ body });
     expect(describeResult(result)).toBe(expected);
     expect(new Set(asked).size).toBe(1);
     expect(trace.handovers).toHaveLength(1);
--- a/packages/gateway/test/screen.test.ts
+++ b/packages/gateway/test/screen.test.ts
@@ -1,13 +1,12 @@
 import { PassThrough } from 'node:stream';
-import type { IncomingMessage } from 'node:http';
 import { digestRequest } from '@dotterelpass/proxy';
-import type { StreamedBody } from '@dotterelpass/proxy';
 import { CrashTable } from '@dotterelpass/suspects';
 import { ManualClock } from '@dotterelpass/values';
 import type { Result } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
 import { RequestScreen } from '../src/screen.js';
 import { UploadMemory } from '../src/uploads.js';
+import { makeStreamedBody } from './streamed.js';
 
 const head = 'POST h/scan\n';
 
@@ -19,21 +18,16 @@
 /** A body of which the first bytes have been read; the others come in when the stream ends. */
 function makeBody(bytes: Buffer, hasLength = true) {
   const rest = new PassThrough();
-  const body: StreamedBody = {
-    kind: 'stream',
-    head: bytes.subarray(0, 70_000),
-    rest: Object.assign(rest, { rawTrailers: [] }) as unknown as IncomingMessage,
-    length: hasLength ? bytes.length : undefined,
-    maxBytes: 10_000_000,
-  };
+  const length = hasLength ? bytes.length : undefined;
+  const body = makeStreamedBody(bytes.subarray(0, 70_000), rest, length);
   const finish = () => rest.end(bytes.subarray(70_000));
-  return { body, finish };
+  return { body, rest, finish };
 }
 
 async function digestBytes(bytes: Buffer): Promise<string> {
-  const { body, finish } = makeBody(bytes);
+  const { body, rest, finish } = makeBody(bytes);
   const digest = digestRequest(head, body);
-  body.rest.resume();
+  rest.resume();
   finish();
   return (await digest.wait()) ?? '';
 }
@@ -75,13 +69,13 @@
     const kept = Array.from({ length: 16 }, () => makeBody(other, false));
     const checks = kept.map(({ body }) => screen.check(head, body, 1000));
     const checkNext = async (bytes: Buffer) => {
-      const { body, finish } = makeBody(bytes, false);
+      const { body, rest, finish } = makeBody(bytes, false);
       const { body: streamed } = unwrap(await screen.check(head, body, 1000));
       if (streamed.kind !== 'stream') return streamed.kind;
-      body.rest.resume();
+      rest.resume();
       finish();
       await new Promise((resolve) => {
-        body.rest.once('end', resolve);
+        rest.once('end', resolve);
       });
       return streamed.mayComplete?.();
     };
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -2,9 +2,9 @@
 import { ByteCollector } from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import type { BodyAhead } from './ahead.js';
 import { copyTrailers } from './headers.js';
 import type { Refusal } from './refusal.js';
+import { StreamedBody } from './streamed.js';
 
 /** Largest request body that is buffered, so that the request can be hashed and retried. */
 export const maxBufferedBytes = 64 * 1024;
@@ -16,27 +16,6 @@
   | { readonly kind: 'whole'; readonly bytes: Buffer; readonly trailers: [string, string][] }
   | StreamedBody;
 
-/** A body larger than `maxBufferedBytes`, which can be sent only once. */
-export interface StreamedBody {
-  readonly kind: 'stream';
-  /** The bytes that have already been read from `rest`. */
-  readonly head: Buffer;
-  /** Reads on behind `head` until the body is sent. */
-  readonly ahead?: BodyAhead;
-  readonly rest: IncomingMessage;
-  /** Length of the whole body; undefined when the caller uses chunked transfer coding. */
-  readonly length: number | undefined;
-  /** Size limit of the whole body. */
-  readonly maxBytes: number;
-  /** Lower-case names of trailers that are not forwarded. */
-  readonly omittedTrailers?: ReadonlySet<string> | undefined;
-  /**
-   * Decides, when the whole body has come in, whether the endpoint gets its last bytes, without which
-   * it cannot take the request for complete. Without this function it does.
-   */
-  readonly mayComplete?: () => boolean;
-}
-
 /** Error of a request body that cannot be forwarded because of the caller. */
 export class BodyError extends Error {
   /** Status of the response to the caller. */
@@ -70,10 +49,13 @@
   const length = declared === undefined ? undefined : Number(declared);
   if (length !== undefined && length > maxBytes) return err(makeSizeRefusal(maxBytes));
   onAccept();
-  const options = { maxBytes, length, timeoutMs, maxKeptBytes: maxBufferedBytes };
-  return new Promise((resolve) => {
-    new BodyReader(request, options, resolve).start();
-  });
+  const options = { maxBytes, timeoutMs, maxKeptBytes: maxBufferedBytes };
+  const read = await new BodyReader(request, options).read();
+  return read.map(({ bytes, isWhole }) =>
+    isWhole
+      ? makeWholeBody(bytes, request)
+      : new StreamedBody({ head: bytes, rest: request, length, maxBytes }),
+  );
 }
 
 /**
@@ -89,13 +71,21 @@
   maxKeptBytes: number,
   timeoutMs: number,
 ): Promise<Result<RequestBody, Refusal>> {
-  const { rest, head, maxBytes, length } = body;
-  if (rest.destroyed && !rest.readableEnded) return err(makeDisconnectRefusal());
-  const options = { maxBytes, length, timeoutMs, maxKeptBytes, head };
-  const result = await new Promise<Result<RequestBody, Refusal>>((resolve) => {
-    new BodyReader(rest, options, resolve).start();
+  if (body.isCut) return err(makeDisconnectRefusal());
+  const taken = body.take();
+  if (!taken) throw new RangeError('the body is read by someone else');
+  const { rest, head } = taken;
+  const options = { maxBytes: body.maxBytes, timeoutMs, maxKeptBytes, head };
+  const read = await new BodyReader(rest, options).read();
+  return read.map(({ bytes, isWhole }) => {
+    if (isWhole) return makeWholeBody(bytes, rest);
+    taken.giveBack(bytes);
+    return body;
   });
-  return result.map((read) => (read.kind === 'stream' ? { ...body, head: read.head } : read));
+}
+
+function makeWholeBody(bytes: Buffer, { rawTrailers }: IncomingMessage): RequestBody {
+  return { kind: 'whole', bytes, trailers: copyTrailers(rawTrailers) };
 }
 
 /**
@@ -128,7 +118,6 @@
 
 interface BodyReaderOptions {
   readonly maxBytes: number;
-  readonly length: number | undefined;
   readonly timeoutMs: number;
   /** Size beyond which the rest of the body is left to another reader. */
   readonly maxKeptBytes: number;
@@ -136,29 +125,38 @@
   readonly head?: Buffer;
 }
 
-/** Reads a body until it is complete or exceeds `maxKeptBytes`. */
+/** The bytes of a body from its start. */
+interface ReadBytes {
+  readonly bytes: Buffer;
+  /** Whether these are all. */
+  readonly isWhole: boolean;
+}
+
+/** Reads a body until it is complete or exceeds `maxKeptBytes`; it is paused then. */
 class BodyReader {
   readonly #request: IncomingMessage;
 
   readonly #options: BodyReaderOptions;
 
-  readonly #resolve: (result: Result<RequestBody, Refusal>) => void;
+  #resolve: (result: Result<ReadBytes, Refusal>) => void = () => undefined;
 
   readonly #bytes = new ByteCollector();
 
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(
-    request: IncomingMessage,
-    options: BodyReaderOptions,
-    resolve: (result: Result<RequestBody, Refusal>) => void,
-  ) {
+  constructor(request: IncomingMessage, options: BodyReaderOptions) {
     this.#request = request;
     this.#options = options;
-    this.#resolve = resolve;
   }
 
-  start(): void {
+  async read(): Promise<Result<ReadBytes, Refusal>> {
+    return new Promise((resolve) => {
+      this.#resolve = resolve;
+      this.#start();
+    });
+  }
+
+  #start(): void {
     const { timeoutMs, head } = this.#options;
     if (head) this.#bytes.add(head);
     this.#timer = setTimeout(
@@ -172,22 +170,17 @@
   }
 
   readonly #handleData = (chunk: Buffer) => {
-    const { maxBytes, length, maxKeptBytes } = this.#options;
+    const { maxBytes, maxKeptBytes } = this.#options;
     this.#bytes.add(chunk);
     const { size } = this.#bytes;
     if (size > maxBytes) this.#finish(err(makeSizeRefusal(maxBytes)));
     else if (size > maxKeptBytes) {
       this.#request.pause();
-      const head = this.#bytes.toBuffer();
-      this.#finish(ok({ kind: 'stream', head, rest: this.#request, length, maxBytes }));
+      this.#finish(ok({ bytes: this.#bytes.toBuffer(), isWhole: false }));
     }
   };
 
-  readonly #handleEnd = () => {
-    const bytes = this.#bytes.toBuffer();
-    const trailers = copyTrailers(this.#request.rawTrailers);
-    this.#finish(ok({ kind: 'whole', bytes, trailers }));
-  };
+  readonly #handleEnd = () => this.#finish(ok({ bytes: this.#bytes.toBuffer(), isWhole: true }));
 
   readonly #handleClose = () => this.#finish(err(makeDisconnectRefusal()));
 
@@ -197,7 +190,7 @@
     this.#finish(err({ status, verdict: 'not-run', message }));
   }
 
-  #finish(result: Result<RequestBody, Refusal>): void {
+  #finish(result: Result<ReadBytes, Refusal>): void {
     clearTimeout(this.#timer);
     this.#request.off('data', this.#handleData).off('end', this.#handleEnd);
     this.#request.off('close', this.#handleClose).off('error', this.#handleError);
--- a/packages/proxy/src/digest.ts
+++ b/packages/proxy/src/digest.ts
@@ -1,7 +1,8 @@
 import { createHash, hash as hashOneShot } from 'node:crypto';
 import type { Hash } from 'node:crypto';
 import { maxBufferedBytes } from './body.js';
-import type { RequestBody, StreamedBody } from './body.js';
+import type { RequestBody } from './body.js';
+import type { StreamedBody } from './streamed.js';
 
 /** Number of hexadecimal digits of the name of a long body's start. */
 const startDigits = 16;
@@ -71,24 +72,23 @@
 
   readonly #ended: Promise<void>;
 
-  constructor(head: string, { head: firstBytes, rest, length }: StreamedBody) {
+  constructor(head: string, body: StreamedBody) {
     super();
-    this.#length = length;
+    const { head: firstBytes } = body;
+    this.#length = body.length;
     this.#hash = createHash('sha256').update(head).update(firstBytes.subarray(0, maxBufferedBytes));
     this.start = `${this.#hash.copy().digest('hex').slice(0, startDigits)}-`;
     this.#hash.update(firstBytes.subarray(maxBufferedBytes));
     this.#size = firstBytes.length;
-    rest.on('data', (chunk: Buffer) => {
-      this.#size += chunk.length;
-      this.#hash.update(chunk);
-    });
     this.#ended = new Promise((resolve) => {
-      rest.once('end', () => {
-        this.#finish();
-        resolve();
+      body.observe({
+        handleChunk: (chunk) => this.#addChunk(chunk),
+        handleEnd: () => {
+          this.#finish();
+          resolve();
+        },
+        handleClose: resolve,
       });
-      rest.once('close', resolve);
-      if (rest.destroyed) resolve();
     });
   }
 
@@ -101,6 +101,11 @@
     return this.#value;
   }
 
+  #addChunk(chunk: Buffer): void {
+    this.#size += chunk.length;
+    this.#hash.update(chunk);
+  }
+
   #finish(): void {
     const isWhole = this.#length === undefined || this.#length === this.#size;
     if (isWhole) this.#value = this.start + this.#hash.digest('hex');
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,5 +1,4 @@
 export { isEndedCleanly } from './agent.js';
-export { BodyAhead } from './ahead.js';
 export * from './backlog.js';
 export * from './body.js';
 export { ByteBudget } from './budget.js';
@@ -15,3 +14,4 @@
 export * from './pool.js';
 export * from './refusal.js';
 export * from './stall.js';
+export { StreamedBody } from './streamed.js';
--- a/packages/proxy/src/upload.ts
+++ b/packages/proxy/src/upload.ts
@@ -1,7 +1,9 @@
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { ClientRequest } from 'node:http';
+import type { Socket } from 'node:net';
 import { BodyError, makeSizeRefusal } from './body.js';
-import type { RequestBody, StreamedBody } from './body.js';
+import type { RequestBody } from './body.js';
 import { copyTrailers } from './headers.js';
+import type { StreamedBody, TakenBody } from './streamed.js';
 
 /**
  * Writes a body to an endpoint.
@@ -19,8 +21,18 @@
     outgoing.end(body.bytes);
     return;
   }
-  // Until there is a connection, the body is read on, so that the end of the caller's is noticed.
-  outgoing.once('socket', () => new Upload(outgoing, body).start());
+  // An attempt that gets no connection must leave the body to the next one.
+  outgoing.once('socket', (socket: Socket) => {
+    if (socket.connecting) socket.once('connect', () => startUpload(outgoing, body));
+    else startUpload(outgoing, body);
+  });
+}
+
+function startUpload(outgoing: ClientRequest, body: StreamedBody): void {
+  if (outgoing.destroyed) return;
+  const taken = body.take();
+  if (taken) new Upload(outgoing, body, taken).start();
+  else outgoing.destroy(new BodyError(502, 'an earlier attempt has sent a part of the body'));
 }
 
 /**
@@ -33,7 +45,9 @@
 
   readonly #body: StreamedBody;
 
-  readonly #rest: IncomingMessage;
+  readonly #taken: TakenBody;
+
+  readonly #rest: TakenBody['rest'];
 
   #size = 0;
 
@@ -45,17 +59,17 @@
   /**
    * @param outgoing - The request to the endpoint. It is destroyed when the body cannot be read.
    * @param body - The body.
+   * @param taken - The same, taken for this upload.
    */
-  constructor(outgoing: ClientRequest, body: StreamedBody) {
+  constructor(outgoing: ClientRequest, body: StreamedBody, taken: TakenBody) {
     this.#outgoing = outgoing;
     this.#body = body;
-    this.#rest = body.rest;
+    this.#taken = taken;
+    this.#rest = taken.rest;
   }
 
   start(): void {
-    const { ahead } = this.#body;
-    const head = ahead ? ahead.stop() : this.#body.head;
-    if (this.#rest.destroyed && !this.#rest.readableEnded) {
+    if (this.#body.isCut) {
       this.#handleClose();
       return;
     }
@@ -67,8 +81,7 @@
       .once('response', (response) => response.once('end', this.#handleEarlyResponse));
     this.#rest.on('data', this.#handleData).on('end', this.#handleEnd);
     this.#rest.on('close', this.#handleClose).on('error', this.#handleError);
-    this.#rest.pause();
-    this.#handleData(head);
+    this.#handleData(this.#taken.head);
     if (this.#outgoing.destroyed) return;
     if (this.#rest.readableEnded) this.#handleEnd();
     else if (!this.#outgoing.writableNeedDrain) this.#rest.resume();
@@ -122,12 +135,12 @@
     this.#outgoing.destroy(new BodyError(status, message));
   }
 
-  /** Stops to read the body, which its next reader has to resume. */
+  /** Stops to read the body. */
   readonly #stop = () => {
     this.#outgoing.off('drain', this.#handleDrain);
     this.#outgoing.off('error', this.#stop).off('close', this.#stop);
     this.#rest.off('data', this.#handleData).off('end', this.#handleEnd);
     this.#rest.off('close', this.#handleClose).off('error', this.#handleError);
-    this.#rest.pause();
+    this.#taken.giveBack();
   };
 }
--- a/packages/proxy/test/digest.test.ts
+++ b/packages/proxy/test/digest.test.ts
@@ -71,7 +71,7 @@
   async function digest(sent: SentBody): Promise<RequestDigest & { readonly body: RequestBody }> {
     const body = await read(sent);
     const made = digestRequest('POST h/', body);
-    if (body.kind === 'stream') body.rest.resume();
+    if (body.kind === 'stream') body.take()?.rest.resume();
     return Object.assign(made, { body });
   }
 
@@ -135,7 +135,7 @@
       if (further.kind === 'whole') expect(further.bytes.equals(long)).toBe(true);
       if (further.kind === 'stream') {
         expect(further.head.length).toBeGreaterThan(maxKeptBytes);
-        further.rest.resume();
+        further.take()?.rest.resume();
       }
       expect(await made.wait()).toBe(await (await digest({ bytes: long })).wait());
     });
