Tell all instances of bans at once, by version, and ban unfinished uploads

The mends share the fields of a ban, so they stand in one commit.

Causes: an answer of any version of the endpoints excused crashes of all versions and lifted bans; bans reached other instances only by listings of the store, which may be seconds old; nothing named an upload whose body never was whole, and after an early response Node did not even tell that its connection had closed.

Who bans or lifts tells all instances over the links between peers. A crash of an unfinished upload counts against the start of its body; while that is banned, bodies that begin so are read whole before they are sent, so that the next crash names the request. A request whose connection closes behind its response is destroyed. A crash is noticed at once where no idle connection speaks against it.

--- a/packages/fleet/src/bans.ts
+++ b/packages/fleet/src/bans.ts
@@ -1,16 +1,19 @@
 import type { KeyValueStore, StoreItem } from '@dotterelpass/store';
 import type { Logger } from '@dotterelpass/telemetry';
-import type { Clock } from '@dotterelpass/values';
+import type { RequestBan } from '@dotterelpass/suspects';
+import type { Clock, EndpointVersion } from '@dotterelpass/values';
 import { leaseMs } from './lease.js';
 import type { InstanceLease } from './lease.js';
 
-/** Values of the keys of bans. A lifted one stays until its lease ends. */
-const banValue = '{}';
-const liftedBanValue = '{"isLifted":true}';
-
 /** Minimum time between two writes of a key: a listing may predate the last write. */
 const rewriteIntervalMs = 6000;
 
+/** What an instance tells the others of a ban. */
+export interface BanNews extends RequestBan {
+  /** Whether the ban is lifted, because the request has been answered. */
+  readonly isLifted: boolean;
+}
+
 /** A ban. A lifted one stays lifted while its key exists: the request cannot crash all endpoints. */
 interface KnownBan {
   readonly isLifted: boolean;
@@ -19,6 +22,7 @@
 
 /** When a ban of this instance was decided, and when it was last written to the store. */
 interface OwnBan {
+  readonly ban: RequestBan;
   readonly bannedAt: number;
   readonly writtenAt: number;
 }
@@ -35,9 +39,11 @@
    *
    * @returns Whether this instance accepts the ban; otherwise the ban is lifted on all instances.
    */
-  onBan(fingerprint: string): boolean;
+  onBan(ban: RequestBan): boolean;
   /** Called when another instance has lifted a ban. */
   onLift(fingerprint: string): void;
+  /** Tells all other instances at once, since listings of the store may be seconds old. */
+  announceBan(news: BanNews): void;
 }
 
 /** Bans of requests, which the instances share through keys in the store. */
@@ -57,13 +63,21 @@
   /**
    * Writes a ban to the store, from where the other instances read it.
    *
-   * @param fingerprint - Fingerprint of the banned request.
+   * @param ban - The ban.
    */
-  async write(fingerprint: string): Promise<void> {
-    if (this.#bans.has(fingerprint)) return;
-    const now = this.#options.clock.now();
-    this.#bans.set(fingerprint, { isLifted: false, knownSince: now });
-    await this.#putOwn(fingerprint, now);
+  async write(ban: RequestBan): Promise<void> {
+    const { clock, announceBan } = this.#options;
+    if (this.#bans.has(ban.fingerprint)) return;
+    const now = clock.now();
+    this.#bans.set(ban.fingerprint, { isLifted: false, knownSince: now });
+    announceBan({ ...ban, isLifted: false });
+    await this.#putOwn(ban, now);
+  }
+
+  /** @param message - What another instance has sent; ignored unless it tells of a ban. */
+  receive(message: unknown): void {
+    const news = parseNews(message);
+    if (news) this.#mergeBan(news);
   }
 
   /** @param items - All keys of bans in a listing of the store. */
@@ -72,7 +86,8 @@
     items.forEach(({ key, value }) => {
       const fingerprint = key.slice(this.#options.prefix.length);
       listed.add(fingerprint);
-      this.#mergeBan(fingerprint, value.toString() === liftedBanValue);
+      const news = parseNews({ ...readFields(value), fingerprint });
+      if (news) this.#mergeBan(news);
     });
     this.#dropExpired(listed);
   }
@@ -84,16 +99,17 @@
    */
   async writeMissing(isListed: (key: string) => boolean): Promise<void> {
     const { clock, prefix } = this.#options;
-    for (const [fingerprint, { bannedAt, writtenAt }] of this.#ownBans) {
+    for (const [fingerprint, { ban, bannedAt, writtenAt }] of this.#ownBans) {
       const now = clock.now();
       if (now - bannedAt > leaseMs) this.#ownBans.delete(fingerprint);
       else if (!isListed(prefix + fingerprint) && now - writtenAt > rewriteIntervalMs) {
-        await this.#putOwn(fingerprint, bannedAt);
+        await this.#putOwn(ban, bannedAt);
       }
     }
   }
 
-  #mergeBan(fingerprint: string, isLifted: boolean): void {
+  #mergeBan({ isLifted, ...ban }: BanNews): void {
+    const { fingerprint } = ban;
     const { clock, onBan, onLift } = this.#options;
     const known = this.#bans.get(fingerprint);
     if (known && (known.isLifted || !isLifted)) return;
@@ -101,13 +117,16 @@
     if (isLifted) {
       this.#ownBans.delete(fingerprint);
       onLift(fingerprint);
-    } else if (!onBan(fingerprint)) void this.#lift(fingerprint);
+    } else if (!onBan(ban)) void this.#lift(ban);
   }
 
-  async #lift(fingerprint: string): Promise<void> {
-    const knownSince = this.#options.clock.now();
-    this.#bans.set(fingerprint, { isLifted: true, knownSince });
-    const isWritten = await this.#put(fingerprint, liftedBanValue);
+  async #lift(ban: RequestBan): Promise<void> {
+    const { clock, announceBan } = this.#options;
+    const { fingerprint } = ban;
+    const news: BanNews = { ...ban, isLifted: true };
+    this.#bans.set(fingerprint, { isLifted: true, knownSince: clock.now() });
+    announceBan(news);
+    const isWritten = await this.#put(news);
     // The next listing has the ban again, and leads to another attempt.
     if (!isWritten) this.#bans.delete(fingerprint);
   }
@@ -120,22 +139,45 @@
     });
   }
 
-  async #putOwn(fingerprint: string, bannedAt: number): Promise<void> {
-    this.#ownBans.set(fingerprint, { bannedAt, writtenAt: this.#options.clock.now() });
+  async #putOwn(ban: RequestBan, bannedAt: number): Promise<void> {
+    const writtenAt = this.#options.clock.now();
+    this.#ownBans.set(ban.fingerprint, { ban, bannedAt, writtenAt });
     // A ban that another instance has lifted meanwhile stays lifted.
-    await this.#put(fingerprint, banValue, 0);
+    await this.#put({ ...ban, isLifted: false }, 0);
   }
 
   /** @param expected - Revision that the key must have; any by default. */
-  async #put(fingerprint: string, text: string, expected?: number): Promise<boolean> {
+  async #put({ fingerprint, ...fields }: BanNews, expected?: number): Promise<boolean> {
     const { store, lease, prefix, log } = this.#options;
     const id = await lease.getOrCreate();
     const key = prefix + fingerprint;
     const condition = expected === undefined ? {} : { expected };
-    const written = await store.put({ key, value: Buffer.from(text), lease: id, ...condition });
+    const value = Buffer.from(JSON.stringify(fields));
+    const written = await store.put({ key, value, lease: id, ...condition });
     if (written.isOk()) return true;
     if (written.error.kind === 'refused') lease.drop();
     log.warn('ban-unwritten', { fingerprint, reason: written.error.message });
     return false;
   }
 }
+
+/** @returns The fields of the value of a key; none when it cannot be read. */
+function readFields(value: Buffer): Record<string, unknown> {
+  try {
+    const fields: unknown = JSON.parse(value.toString());
+    return typeof fields === 'object' && fields !== null ? { ...fields } : {};
+  } catch {
+    return {};
+  }
+}
+
+function parseNews(message: unknown): BanNews | undefined {
+  const { fingerprint, version, isLifted } = message as Record<string, unknown>;
+  if (typeof fingerprint !== 'string') return undefined;
+  const hasVersion = typeof version === 'string';
+  return {
+    fingerprint,
+    version: hasVersion ? (version as EndpointVersion) : undefined,
+    isLifted: isLifted === true,
+  };
+}
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -3,8 +3,10 @@
 import { Backoff } from '@dotterelpass/store';
 import type { KeyValueStore, StoreItem } from '@dotterelpass/store';
 import type { Logger } from '@dotterelpass/telemetry';
-import type { Clock, Incarnation, InstanceId, Random } from '@dotterelpass/values';
+import type { EndpointCrash, RequestBan } from '@dotterelpass/suspects';
+import type { Clock, InstanceId, Random } from '@dotterelpass/values';
 import { BanList } from './bans.js';
+import type { BanNews } from './bans.js';
 import { InstanceLease } from './lease.js';
 import { parsePeer } from './peer.js';
 import type { Peer } from './peer.js';
@@ -68,11 +70,13 @@
    *
    * @returns Whether this instance accepts the ban; otherwise the ban is lifted on all instances.
    */
-  onBan(fingerprint: string): boolean;
+  onBan(ban: RequestBan): boolean;
   /** Called when another instance has lifted a ban. */
   onLift(fingerprint: string): void;
   /** Called when endpoints have crashed on this instance and another one with the same request. */
-  onSecondCrash(fingerprint: string): void;
+  onSecondCrash(ban: RequestBan): void;
+  /** Tells all other instances of a ban at once. */
+  announceBan(news: BanNews): void;
   /** Called with the peer key, which all instances share, and the other instances. */
   onPeers(peerKey: string, peers: ReadonlyMap<InstanceId, Peer>): void;
 }
@@ -111,10 +115,10 @@
   constructor(options: FleetOptions) {
     this.#options = options;
     this.#startedAt = options.clock.now();
-    const { store, clock, log, onBan, onLift, onSecondCrash } = options;
+    const { store, log, onSecondCrash } = options;
     this.#lease = new InstanceLease(store, log);
     const lease = this.#lease;
-    this.#bans = new BanList({ store, lease, prefix: banPrefix, clock, log, onBan, onLift });
+    this.#bans = new BanList({ ...options, lease, prefix: banPrefix });
     this.#crashReporter = new CrashReporter({ store, lease, log, onSecondCrash });
   }
 
@@ -153,8 +157,8 @@
   }
 
   /** Reports a crash, to find whether the same request has crashed an endpoint on another instance. */
-  reportCrash(fingerprint: string, incarnation: Incarnation): void {
-    this.#crashReporter.report(fingerprint, incarnation);
+  reportCrash(fingerprint: string, crash: EndpointCrash): void {
+    this.#crashReporter.report(fingerprint, crash);
   }
 
   /** @returns An update for an instance whose keys have this digest. */
@@ -174,12 +178,16 @@
   }
 
   /**
-   * Writes a ban to the store, from where the other instances read it.
-   *
-   * @param fingerprint - Fingerprint of the banned request.
+   * Tells the other instances of a ban, and writes it to the store for those that cannot be reached
+   * now.
    */
-  async writeBan(fingerprint: string): Promise<void> {
-    await this.#bans.write(fingerprint);
+  async writeBan(ban: RequestBan): Promise<void> {
+    await this.#bans.write(ban);
+  }
+
+  /** @param message - The message of another instance on a ban. */
+  receiveBan(message: unknown): void {
+    this.#bans.receive(message);
   }
 
   /** @returns Delay until the next poll of the store, in milliseconds. */
--- a/packages/fleet/src/reporter.ts
+++ b/packages/fleet/src/reporter.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { KeyValueStore, StorePut } from '@dotterelpass/store';
 import type { Logger } from '@dotterelpass/telemetry';
-import type { Incarnation } from '@dotterelpass/values';
+import type { EndpointCrash, RequestBan } from '@dotterelpass/suspects';
 import type { InstanceLease } from './lease.js';
 
 /** Prefix of the crash reports. They are not among the keys that the instances list and share. */
@@ -21,7 +21,7 @@
   readonly log: Logger;
   readonly lease: InstanceLease;
   /** Called when another incarnation of an endpoint has crashed while it ran the same request. */
-  onSecondCrash(fingerprint: string): void;
+  onSecondCrash(ban: RequestBan): void;
 }
 
 /**
@@ -31,8 +31,8 @@
 export class CrashReporter {
   readonly #options: CrashReporterOptions;
 
-  /** Crashed incarnations to be reported, by fingerprint. */
-  readonly #pending = new Map<string, Incarnation>();
+  /** Crashes to be reported, by fingerprint. */
+  readonly #pending = new Map<string, EndpointCrash>();
 
   #isWriting = false;
 
@@ -46,14 +46,14 @@
    * Reports the first crash that this instance has seen of an endpoint that ran a request.
    *
    * @param fingerprint - Fingerprint of the request.
-   * @param incarnation - The incarnation of the endpoint that has ended.
+   * @param crash - The crash.
    */
-  report(fingerprint: string, incarnation: Incarnation): void {
+  report(fingerprint: string, crash: EndpointCrash): void {
     if (this.#pending.size >= maxPending) {
       this.#options.log.warn('crash-unreported', { fingerprint, reason: 'too many reports' });
       return;
     }
-    this.#pending.set(fingerprint, incarnation);
+    this.#pending.set(fingerprint, crash);
     if (!this.#isWriting) void this.#writeReports();
   }
 
@@ -66,14 +66,14 @@
     while (this.#pending.size > 0 && !this.#stopped) {
       await sleep(batchIntervalMs);
       const batch = new Map([...this.#pending].slice(0, maxBatch));
-      batch.forEach((_incarnation, fingerprint) => this.#pending.delete(fingerprint));
+      batch.forEach((_crash, fingerprint) => this.#pending.delete(fingerprint));
       await this.#writeBatch(batch);
     }
     this.#isWriting = false;
   }
 
   /** Creates the keys of reports. Those that exist name an earlier crash. */
-  async #writeBatch(batch: Map<string, Incarnation>): Promise<void> {
+  async #writeBatch(batch: Map<string, EndpointCrash>): Promise<void> {
     const { store, lease, log, onSecondCrash } = this.#options;
     // A write with an existing key creates none, and is repeated without that key.
     while (batch.size > 0 && !this.#stopped) {
@@ -89,10 +89,11 @@
       const { size } = batch;
       existing.value.forEach(({ key, value }) => {
         const fingerprint = key.slice(reportPrefix.length);
-        const incarnation = batch.get(fingerprint);
+        const crash = batch.get(fingerprint);
         batch.delete(fingerprint);
-        if (incarnation !== undefined && value.toString() !== incarnation)
-          onSecondCrash(fingerprint);
+        if (crash && value.toString() !== crash.incarnation) {
+          onSecondCrash({ fingerprint, version: crash.version });
+        }
       });
       // All were created, or the store names keys that do not explain why none was.
       if (batch.size === size) return;
@@ -100,6 +101,6 @@
   }
 }
 
-function createItem([fingerprint, incarnation]: [string, Incarnation], lease: number): StorePut {
-  return { key: reportPrefix + fingerprint, value: Buffer.from(incarnation), lease };
+function createItem([fingerprint, crash]: [string, EndpointCrash], lease: number): StorePut {
+  return { key: reportPrefix + fingerprint, value: Buffer.from(crash.incarnation), lease };
 }
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -1,11 +1,19 @@
 import { KeyValueStore } from '@dotterelpass/store';
 import type { PlatformError, StoreItem, StoreListing, StorePut } from '@dotterelpass/store';
+import type { EndpointCrash, RequestBan } from '@dotterelpass/suspects';
 import { createLogger, setLogDestination } from '@dotterelpass/telemetry';
 import { makeRandom, systemClock } from '@dotterelpass/values';
-import type { Clock, Incarnation, FailureDomain, InstanceId } from '@dotterelpass/values';
+import type {
+  Clock,
+  EndpointVersion,
+  FailureDomain,
+  Incarnation,
+  InstanceId,
+} from '@dotterelpass/values';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { BanNews } from '../src/bans.js';
 import { Fleet } from '../src/fleet.js';
 
 /** A store in memory that records the calls. */
@@ -70,6 +78,8 @@
 
 /** What an instance hears of requests that crash endpoints. */
 class FleetEvents {
+  readonly news: BanNews[] = [];
+
   readonly bans: string[] = [];
 
   readonly lifts: string[] = [];
@@ -92,6 +102,13 @@
   fleets = [];
 });
 
+const ban: RequestBan = { fingerprint: 'f1', version: undefined };
+
+const makeCrash = (incarnation: string): EndpointCrash => ({
+  incarnation: incarnation as Incarnation,
+  version: undefined,
+});
+
 /** Clock that runs faster than time, for waits of seconds. */
 const fastClock: Clock = {
   now: () => systemClock.now() * 20,
@@ -114,12 +131,13 @@
     log: createLogger('test'),
     onSize: () => undefined,
     onChange: () => undefined,
-    onBan: (fingerprint) => {
+    onBan: ({ fingerprint }) => {
       events.bans.push(fingerprint);
       return events.acceptsBans;
     },
     onLift: (fingerprint) => events.lifts.push(fingerprint),
-    onSecondCrash: (fingerprint) => events.secondCrashes.push(fingerprint),
+    onSecondCrash: ({ fingerprint }) => events.secondCrashes.push(fingerprint),
+    announceBan: (news) => events.news.push(news),
     onPeers: (_peerKey, peers) => {
       events.peers.splice(0, Infinity, ...peers.keys());
     },
@@ -177,7 +195,7 @@
     const store = new MemoryStore();
     const fleet = startFleet(store, 'a', 'a:1', fastClock);
     await vi.waitFor(() => expect(fleet.buildUpdate('').items).toHaveLength(2), 5000);
-    await fleet.writeBan('f1');
+    await fleet.writeBan(ban);
     const listValues = () =>
       [...store.items].map(([key, { value }]) => `${key} ${value.toString()}`).sort();
     const before = listValues();
@@ -192,7 +210,7 @@
     const fleet = startFleet(store, 'a', 'a:1', fastClock);
     await vi.waitFor(() => expect(hasPeerKey(store)).toBe(true));
     store.restore();
-    await fleet.writeBan('f1');
+    await fleet.writeBan(ban);
     await vi.waitFor(() => expect(store.items.has('dotterelpass/bans/f1')).toBe(true), 5000);
   });
 
@@ -253,7 +271,7 @@
     );
     for (const [index, [fingerprint = '', incarnation = '']] of reports.entries()) {
       const { length } = store.calls;
-      members[index]?.reportCrash(fingerprint, incarnation as Incarnation);
+      members[index]?.reportCrash(fingerprint, makeCrash(incarnation));
       await vi.waitFor(() =>
         expect(store.calls.slice(length)).toContain(`create dotterelpass-crashes/${fingerprint}`),
       );
@@ -267,7 +285,7 @@
     const events = new FleetEvents();
     const fleet = startFleet(store, 'a', 'a:1', systemClock, events);
     await store.put({ key: 'dotterelpass-crashes/f3', value: Buffer.from('e0') });
-    for (let index = 0; index < 10; index++) fleet.reportCrash(`f${index}`, 'e1' as Incarnation);
+    for (let index = 0; index < 10; index++) fleet.reportCrash(`f${index}`, makeCrash('e1'));
     await vi.waitFor(() => expect(store.items.has('dotterelpass-crashes/f9')).toBe(true));
     // The second write leaves out the key that exists.
     expect(store.calls.filter((call) => call.startsWith('create'))).toHaveLength(2);
@@ -282,22 +300,52 @@
     const [first] = events.map((heard, index) =>
       startFleet(store, `i${index}`, `i${index}:1`, fastClock, heard),
     );
-    await first?.writeBan('f1');
+    await first?.writeBan(ban);
     await vi.waitFor(() => expect(events[0]?.lifts).toEqual(['f1']), 5000);
     await vi.waitFor(() => expect(events[2]?.lifts).toEqual(['f1']), 5000);
     // The instance that had decided on the ban does not write it again.
-    await first?.writeBan('f1');
+    await first?.writeBan(ban);
     const value = store.items.get('dotterelpass/bans/f1')?.value.toString();
     expect(JSON.parse(value ?? '')).toEqual({ isLifted: true });
   });
 
+  /** Guards against a ban that the others learn of only from listings that are seconds old (review/14). */
+  it.each([
+    { name: 'in force', acceptsBans: true, isLifted: false, bans: ['f1'], lifts: [] },
+    { name: 'that this one refutes', acceptsBans: false, isLifted: false, bans: ['f1'], lifts: [] },
+    { name: 'that is lifted', acceptsBans: true, isLifted: true, bans: [], lifts: ['f1'] },
+  ])('hears of a ban $name from another instance', async (row) => {
+    const store = new MemoryStore();
+    const [first, second] = [new FleetEvents(), new FleetEvents()];
+    Object.assign(second, { acceptsBans: row.acceptsBans });
+    const teller = startFleet(store, 'a', 'a:1', systemClock, first);
+    const hearer = startFleet(store, 'b', 'b:1', systemClock, second);
+    const told = { ...ban, version: 'v2' as EndpointVersion };
+    await teller.writeBan(told);
+    expect(first.news).toEqual([{ ...told, isLifted: false }]);
+    hearer.receiveBan({ ...told, isLifted: row.isLifted });
+    expect(second.bans).toEqual(row.bans);
+    expect(second.lifts).toEqual(row.lifts);
+    expect(second.news).toEqual(row.acceptsBans ? [] : [{ ...told, isLifted: true }]);
+  });
+
+  it.each([
+    { name: 'no fingerprint', message: {} },
+    { name: 'another type', message: { fingerprint: 7 } },
+  ])('ignores a message with $name', ({ message }) => {
+    const events = new FleetEvents();
+    const fleet = startFleet(new MemoryStore(), 'a', 'a:1', systemClock, events);
+    fleet.receiveBan(message);
+    expect([events.bans, events.lifts]).toEqual([[], []]);
+  });
+
   /** Guards against a ban that comes back: an instance decides on it before it hears of the lift. */
   it('leaves a ban lifted that another instance decides on', async () => {
     const store = new MemoryStore();
     const fleet = startFleet(store, 'a');
     const key = 'dotterelpass/bans/f1';
     await store.put({ key, value: Buffer.from('{"isLifted":true}') });
-    await fleet.writeBan('f1');
+    await fleet.writeBan(ban);
     expect(JSON.parse(store.items.get(key)?.value.toString() ?? '')).toEqual({ isLifted: true });
   });
 
@@ -310,7 +358,7 @@
       return ok([foreign]);
     };
     const fleet = startFleet(store, 'a');
-    fleet.reportCrash('f1', 'e1' as Incarnation);
+    fleet.reportCrash('f1', makeCrash('e1'));
     await new Promise((resolve) => {
       setTimeout(resolve, 500);
     });
--- a/packages/gateway/src/catalog.ts
+++ b/packages/gateway/src/catalog.ts
@@ -3,6 +3,7 @@
   Branded,
   ClassName,
   EndpointId,
+  EndpointVersion,
   FailureDomain,
   Incarnation,
   ServiceId,
@@ -74,6 +75,8 @@
   readonly failureDomain: FailureDomain;
   readonly slots: number;
   readonly state: 'ready' | 'draining';
+  /** Version of its software; undefined when not registered. */
+  readonly version?: EndpointVersion | undefined;
   /** Start of the process in wall-clock milliseconds; undefined when not registered. */
   readonly startedAtMs: number | undefined;
   /** Remaining warm-up time, in which the endpoint is slow, in milliseconds. */
--- a/packages/gateway/src/crashes.ts
+++ b/packages/gateway/src/crashes.ts
@@ -1,9 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RequestDigest } from '@dotterelpass/proxy';
 import { UnfinishedRuns } from '@dotterelpass/suspects';
-import type { CrashTable } from '@dotterelpass/suspects';
+import type { CrashTable, EndpointCrash, RequestBan } from '@dotterelpass/suspects';
 import type { Logger, Metrics } from '@dotterelpass/telemetry';
-import type { Clock, Incarnation, RequestId } from '@dotterelpass/values';
+import type { Clock, RequestId } from '@dotterelpass/values';
 import { getIncarnation } from './catalog.js';
 import type { Endpoint } from './endpoint.js';
 
@@ -42,9 +42,9 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   /** Called when an endpoint has crashed while it ran a request that is a suspect because of it. */
-  onSuspect(fingerprint: string, incarnation: Incarnation): void;
+  onSuspect(fingerprint: string, crash: EndpointCrash): void;
   /** Called when a request is banned because endpoints seem to have crashed while running it. */
-  onBan(fingerprint: string): void;
+  onBan(ban: RequestBan): void;
 }
 
 /**
@@ -75,14 +75,15 @@
   recordEnd(run: EndpointRun, ending: RunEnding, isSuccess = false): void {
     if (ending === 'not-run') return;
     if (ending === 'answered') {
-      if (isSuccess) void this.#recordAnswer(run.call.digest);
+      if (isSuccess) void this.#recordAnswer(run);
       return;
     }
     const { endpoint, startedAt } = run;
     const { id, digest, deadlineAt } = run.call;
+    const { version } = endpoint.registration;
     const incarnation = getIncarnation(endpoint.registration);
     if (this.#runs.hasCrashedSince(incarnation, startedAt)) {
-      void this.#recordSuspect({ id, digest }, incarnation);
+      void this.#recordSuspect({ id, digest }, { incarnation, version });
       return;
     }
     const remove = this.#runs.add(incarnation, { id, digest }, deadlineAt);
@@ -91,7 +92,7 @@
     void this.#checkEndpoint(endpoint).then((isAlive) => {
       if (!isAlive) return;
       remove();
-      if (isSuccess) void this.#recordAnswer(digest);
+      if (isSuccess) void this.#recordAnswer(run);
     });
   }
 
@@ -118,9 +119,12 @@
   }
 
   async #runCheck(endpoint: Endpoint): Promise<boolean> {
-    await sleep(exitMs);
-    if (endpoint.pool.hasIdle) return true;
-    const state = await endpoint.pool.checkPort();
+    const { pool } = endpoint;
+    if (pool.hasIdle) await sleep(exitMs);
+    if (pool.hasIdle) return true;
+    let state = await pool.checkPort(exitMs);
+    // The port of an exiting process can accept one more connection.
+    if (state === 'ends') state = await pool.checkPort();
     if (state === 'refuses') this.#recordCrash(endpoint, 'refuses connections');
     return state === 'accepts';
   }
@@ -135,32 +139,34 @@
     metrics.recordEvent('endpoint-crashed', registration.service);
     log.warn('endpoint-crashed', { incarnation, evidence, requests: requests.length });
     requests.forEach((request) => {
-      void this.#recordSuspect(request, incarnation);
+      void this.#recordSuspect(request, { incarnation, version: registration.version });
     });
   }
 
-  async #recordSuspect({ id, digest }: RunRequest, incarnation: Incarnation): Promise<void> {
+  async #recordSuspect({ id, digest }: RunRequest, crash: EndpointCrash): Promise<void> {
     const { table, log, onSuspect, onBan } = this.#options;
-    const fingerprint = digest.value ?? (await digest.wait());
-    const fields = { incarnation, requestId: id, fingerprint };
+    // A ban of the start of a body has the bodies that begin so read to their end before they are sent.
+    const fingerprint = digest.value ?? (await digest.wait()) ?? digest.start;
+    const fields = { ...crash, requestId: id, fingerprint };
     if (fingerprint === undefined) {
       log.warn('crash-unattributed', { ...fields, reason: 'the body was not complete' });
       return;
     }
     const wasBanned = table.isBanned(fingerprint);
-    const finding = table.recordCrash(fingerprint, incarnation);
+    const finding = table.recordCrash(fingerprint, crash);
     log.warn('request-suspected', { ...fields, finding });
-    if (finding === 'suspect') onSuspect(fingerprint, incarnation);
+    if (finding === 'suspect') onSuspect(fingerprint, crash);
     if (finding !== 'banned') return;
     if (!wasBanned) {
       const incarnations = table.listCrashes(fingerprint);
       log.warn('request-banned', { fingerprint, source: 'local', incarnations });
     }
-    onBan(fingerprint);
+    onBan({ fingerprint, version: crash.version });
   }
 
-  async #recordAnswer(digest: RequestDigest): Promise<void> {
+  async #recordAnswer({ call: { digest }, endpoint }: EndpointRun): Promise<void> {
+    const { version } = endpoint.registration;
     const fingerprint = digest.value ?? (await digest.wait());
-    if (fingerprint !== undefined) this.#options.table.recordAnswer(fingerprint);
+    if (fingerprint !== undefined) this.#options.table.recordAnswer(fingerprint, version);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,15 +4,9 @@
 import { defaultQuotaBounds } from '@dotterelpass/quota';
 import type { FleetLimiter, QuotaBounds } from '@dotterelpass/quota';
 import { CrashTable } from '@dotterelpass/suspects';
+import type { EndpointCrash, RequestBan } from '@dotterelpass/suspects';
 import type { Logger, LogFields, Metrics } from '@dotterelpass/telemetry';
-import type {
-  Clock,
-  Incarnation,
-  FailureDomain,
-  InstanceId,
-  Random,
-  ServiceId,
-} from '@dotterelpass/values';
+import type { Clock, FailureDomain, InstanceId, Random, ServiceId } from '@dotterelpass/values';
 import { CallAdmission } from './admission.js';
 import { BackpressureRecorder } from './backpressure.js';
 import { CallSender } from './sender.js';
@@ -68,9 +62,9 @@
   /** Called when a configuration is in force. */
   onConfig(config: GatewayConfig): void;
   /** Called when an endpoint has crashed while it ran a request that is a suspect because of it. */
-  onSuspect(fingerprint: string, incarnation: Incarnation): void;
+  onSuspect(fingerprint: string, crash: EndpointCrash): void;
   /** Called when a request is banned because endpoints seem to have crashed while running it. */
-  onBan(fingerprint: string): void;
+  onBan(ban: RequestBan): void;
 }
 
 /** Share of a fleet-wide limit that is used, since instances do not count at the same moments. */
@@ -374,12 +368,13 @@
   }
 
   /** See {@link CrashTable.acceptBan}. */
-  acceptBan(fingerprint: string): boolean {
+  acceptBan(ban: RequestBan): boolean {
+    const { fingerprint } = ban;
     const wasBanned = this.#crashes.isBanned(fingerprint);
-    const isBanned = this.#crashes.acceptBan(fingerprint);
+    const isBanned = this.#crashes.acceptBan(ban);
     const { log } = this.#options;
-    if (!isBanned) log.warn('ban-refuted', { fingerprint });
-    else if (!wasBanned) log.warn('request-banned', { fingerprint, source: 'fleet' });
+    if (!isBanned) log.warn('ban-refuted', { ...ban });
+    else if (!wasBanned) log.warn('request-banned', { ...ban, source: 'fleet' });
     return isBanned;
   }
 
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -56,6 +56,9 @@
  */
 const firstStartWaitMs = 3000;
 
+/** Type of the messages that tell of a ban, or that it has been lifted. */
+const banMessageType = 'ban';
+
 /** Time between two log lines that name what an instance waits for before it is ready. */
 const startReportIntervalMs = 2000;
 
@@ -102,9 +105,9 @@
         ...options,
         limiter: quota.limiter,
         onConfig: (config) => quota.setConfig(config),
-        onSuspect: (fingerprint, crashed) => this.#fleet.reportCrash(fingerprint, crashed),
-        onBan: (fingerprint) => {
-          void this.#fleet.writeBan(fingerprint);
+        onSuspect: (fingerprint, crash) => this.#fleet.reportCrash(fingerprint, crash),
+        onBan: (ban) => {
+          void this.#fleet.writeBan(ban);
         },
       },
       expectedInstances,
@@ -137,11 +140,12 @@
         quota.setSize(size);
       },
       onChange: notifyChange,
-      onBan: (fingerprint) => gateway.acceptBan(fingerprint),
+      onBan: (ban) => gateway.acceptBan(ban),
       onLift: (fingerprint) => gateway.liftBan(fingerprint),
-      onSecondCrash: (fingerprint) => {
-        if (gateway.acceptBan(fingerprint)) void this.#fleet.writeBan(fingerprint);
+      onSecondCrash: (ban) => {
+        if (gateway.acceptBan(ban)) void this.#fleet.writeBan(ban);
       },
+      announceBan: (news) => this.#peerSync.announce(banMessageType, { ...news }),
       onPeers: (peerKey, peers) => {
         this.#peerSync.setPeers(peerKey, peers);
         gateway.setPeers(peerKey, listCallerAddresses(peers));
@@ -162,6 +166,10 @@
       readSummary: () => this.#readSummary(),
     });
     quota.setMessenger(this.#peerSync);
+    this.#peerSync.handle(banMessageType, async (body) => {
+      this.#fleet.receiveBan(body);
+      return {};
+    });
     this.#readiness = createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503).end();
     });
--- a/packages/gateway/src/sync.ts
+++ b/packages/gateway/src/sync.ts
@@ -22,6 +22,9 @@
 /** Timeout of a request without long polling. */
 const responseTimeoutMs = 400;
 
+/** Time in which a peer gets an announcement, also over a new connection. */
+const announceTimeoutMs = 2000;
+
 /**
  * Time by which a response may exceed its timeout while it keeps arriving, in milliseconds. Begun
  * anew, a large configuration would take as long again.
@@ -186,6 +189,13 @@
     return err({ kind: 'unreachable', message: 'the peer key is not known yet' });
   }
 
+  /** Sends a message to all other instances; nobody waits for the answers. */
+  announce(type: string, body: MessageBody): void {
+    [...this.#peers.keys()].forEach((peer) => {
+      void this.request(peer, type, body, announceTimeoutMs);
+    });
+  }
+
   /** See {@link PeerTransport.handle}. */
   handle(type: string, handler: MessageHandler): void {
     this.#handlers.set(type, handler);
--- a/packages/gateway/test/screen.test.ts
+++ b/packages/gateway/test/screen.test.ts
@@ -35,7 +35,7 @@
 /** A screen that knows a ban of a request with these bytes. */
 async function makeScreen(banned: Buffer) {
   const crashes = new CrashTable(new ManualClock());
-  crashes.acceptBan(await digestBytes(banned));
+  crashes.acceptBan({ fingerprint: await digestBytes(banned), version: undefined });
   return new RequestScreen(crashes, new UploadMemory());
 }
 
--- a/packages/gateway/test/uploads.test.ts
+++ b/packages/gateway/test/uploads.test.ts
@@ -132,7 +132,7 @@
     await this.#bed.startServers(...servers);
     this.#bed.maxBodyBytes = 4 * 1024 * 1024;
     this.#bed.setRoute({ repeat, maxAttempts });
-    this.#bed.gateway.acceptBan(bannedDigest);
+    this.#bed.gateway.acceptBan({ fingerprint: bannedDigest, version: undefined });
     // Probes open a connection to each endpoint.
     await exchange(this.#bed.port, [
       'GET /warm HTTP/1.1\r\nHost: h\r\ntimeout-ms: 500\r\nConnection: close\r\n\r\n',
--- a/packages/proxy/src/caller.ts
+++ b/packages/proxy/src/caller.ts
@@ -407,7 +407,13 @@
       // Once the body is complete, later calls of the connection may be under way.
       if (!request.complete) socket.destroy();
     }, this.#limits.lingerMs);
-    request.once('close', () => clearTimeout(timer));
+    // After a response, Node no longer tells its request that the connection has closed.
+    const destroy = () => request.destroy();
+    socket.once('close', destroy);
+    request.once('close', () => {
+      clearTimeout(timer);
+      socket.off('close', destroy);
+    });
   }
 
   #refuseRequest(
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -44,8 +44,11 @@
   readonly status?: number;
 }
 
-/** What the port of an endpoint does with a new connection; `silent` when that is not known in time. */
-export type PortState = 'accepts' | 'refuses' | 'silent';
+/**
+ * What the port of an endpoint does with a new connection: `ends` when it accepts the connection and
+ * ends it at once, `silent` when it does nothing in time.
+ */
+export type PortState = 'accepts' | 'refuses' | 'ends' | 'silent';
 
 /** Limits of a pool. */
 export interface PoolLimits extends ConnectionLimits, StallLimits {
@@ -187,19 +190,28 @@
     return response;
   }
 
-  /** Opens and closes a connection, to see whether the endpoint accepts new ones. */
-  async checkPort(): Promise<PortState> {
+  /**
+   * Opens a connection, to see whether the endpoint accepts new ones.
+   *
+   * @param holdMs - Time for which the connection must last, in milliseconds.
+   */
+  async checkPort(holdMs = 0): Promise<PortState> {
     return new Promise((resolve) => {
       const socket = connect({ host: this.#host, port: this.#port });
+      let closedState: PortState = 'silent';
       socket.setTimeout(this.#limits.connectTimeoutMs, () => socket.destroy());
       socket.on('connect', () => {
-        resolve('accepts');
-        socket.destroy();
+        closedState = 'ends';
+        setTimeout(() => {
+          resolve('accepts');
+          socket.destroy();
+        }, holdMs);
       });
       socket.on('error', (error: NodeJS.ErrnoException) => {
-        if (error.code === 'ECONNREFUSED') resolve('refuses');
+        if (error.code === 'ECONNREFUSED') closedState = 'refuses';
       });
-      socket.on('close', () => resolve('silent'));
+      socket.on('close', () => resolve(closedState));
+      socket.resume();
     });
   }
 
--- a/packages/suspects/src/evidence.ts
+++ b/packages/suspects/src/evidence.ts
@@ -1,4 +1,4 @@
-import type { Clock, Incarnation } from '@dotterelpass/values';
+import type { Clock, EndpointVersion, Incarnation } from '@dotterelpass/values';
 import { SuspectTable } from './table.js';
 
 /** Number of endpoint crashes after which a request is banned, counted over all instances. */
@@ -12,6 +12,20 @@
 /** Maximum number of successful answers of a request that count, one against each crash. */
 const maxAnswers = 64;
 
+/** The crash of an endpoint. */
+export interface EndpointCrash {
+  readonly incarnation: Incarnation;
+  /** Undefined when the endpoint states none. */
+  readonly version: EndpointVersion | undefined;
+}
+
+/** The ban of a request. */
+export interface RequestBan {
+  readonly fingerprint: string;
+  /** Version of the endpoints that it has crashed; undefined when they state none. */
+  readonly version: EndpointVersion | undefined;
+}
+
 /** What a crash means for a request that the endpoint ran. */
 export type CrashFinding =
   /** The request was answered elsewhere, so another one has crashed the endpoint. */
@@ -32,14 +46,16 @@
  * - A request is a suspect when an endpoint crashes that runs it, and banned when another incarnation
  *   of an endpoint crashes, too, on this instance or on another one.
  * - Each successful answer to the same request (method, host, path with query, and body) outweighs
- *   one crash: a request that crashes endpoints is never answered, but a much used one runs on many
- *   endpoints at the time when these crash for another reason.
- * - A ban of another instance does not hold for a request that has been answered on this one.
+ *   one crash of the same version of the endpoints: a request that crashes them is never answered,
+ *   but a much used one runs on many endpoints at the time when these crash for another reason. What
+ *   another version has answered says nothing.
+ * - A ban of another instance does not hold for a request that the version which it names has
+ *   answered on this one.
  */
 export class CrashTable {
   readonly #bans: SuspectTable;
 
-  /** Number of answers that outweigh no crash yet, by fingerprint. */
+  /** Number of answers that outweigh no crash yet, by fingerprint and version. */
   readonly #answers: RecentMap<number>;
 
   /** Crashed incarnations of endpoints, by fingerprint. */
@@ -68,22 +84,22 @@
   }
 
   /** Records a successful answer to a request. */
-  recordAnswer(fingerprint: string): void {
-    const answers = this.#answers.get(fingerprint) ?? 0;
-    this.#answers.set(fingerprint, Math.min(maxAnswers, answers + 1));
+  recordAnswer(fingerprint: string, version: EndpointVersion | undefined): void {
+    const key = buildKey(fingerprint, version);
+    this.#answers.set(key, Math.min(maxAnswers, (this.#answers.get(key) ?? 0) + 1));
   }
 
   /**
    * Records that an endpoint crashed while it ran a request.
    *
    * @param fingerprint - Fingerprint of the request.
-   * @param incarnation - The incarnation of the endpoint that has ended.
    * @returns What the crash means for the request.
    */
-  recordCrash(fingerprint: string, incarnation: Incarnation): CrashFinding {
-    const answers = this.#answers.get(fingerprint) ?? 0;
+  recordCrash(fingerprint: string, { incarnation, version }: EndpointCrash): CrashFinding {
+    const key = buildKey(fingerprint, version);
+    const answers = this.#answers.get(key) ?? 0;
     if (answers > 0) {
-      this.#answers.set(fingerprint, answers - 1);
+      this.#answers.set(key, answers - 1);
       return 'cleared';
     }
     const crashed = new Set(this.#crashes.get(fingerprint)).add(incarnation);
@@ -94,12 +110,13 @@
   }
 
   /**
-   * Bans a request that another instance has banned, unless it has been answered on this instance.
+   * Bans a request that another instance has banned, unless endpoints of the version that it has
+   * crashed there have answered it on this instance.
    *
    * @returns Whether the request is banned.
    */
-  acceptBan(fingerprint: string): boolean {
-    const isCleared = (this.#answers.get(fingerprint) ?? 0) > 0;
+  acceptBan({ fingerprint, version }: RequestBan): boolean {
+    const isCleared = (this.#answers.get(buildKey(fingerprint, version)) ?? 0) > 0;
     if (!isCleared) this.#ban(fingerprint);
     return !isCleared;
   }
@@ -119,6 +136,10 @@
   }
 }
 
+function buildKey(fingerprint: string, version: EndpointVersion | undefined): string {
+  return `${fingerprint} ${version ?? ''}`;
+}
+
 /** Map of a limited size whose entries expire some time after their last change. */
 class RecentMap<Value> {
   readonly #clock: Clock;
--- a/packages/suspects/test/evidence.test.ts
+++ b/packages/suspects/test/evidence.test.ts
@@ -1,10 +1,12 @@
 import { ManualClock } from '@dotterelpass/values';
-import type { Incarnation } from '@dotterelpass/values';
+import type { EndpointVersion, Incarnation } from '@dotterelpass/values';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { CrashTable } from '../src/evidence.js';
 
 const request = 'f';
+const version = 'v1' as EndpointVersion;
+const nextVersion = 'v2' as EndpointVersion;
 
 /** Time in which a ban reaches the other instances, in milliseconds. */
 const banDelayMs = 2000;
@@ -25,6 +27,8 @@
   /** Times from which bans are known to all instances. */
   readonly #bans = new Map<string, number>();
 
+  #bannedVersion: EndpointVersion | undefined;
+
   #crashes = 0;
 
   constructor(instances: number) {
@@ -32,36 +36,42 @@
   }
 
   /** Runs a request, unless it is banned, at an instance whose endpoint crashes or answers. */
-  run(instance: number, crashes: boolean): 'banned' | 'crashed' | 'answered' {
+  run(instance: number, crashes: boolean, by = version): 'banned' | 'crashed' | 'answered' {
     const table = this.#getTable(instance);
     const bannedAt = this.#bans.get(request);
-    if (bannedAt !== undefined && this.clock.now() >= bannedAt && !table.acceptBan(request)) {
+    const isKnown = bannedAt !== undefined && this.clock.now() >= bannedAt;
+    if (isKnown && !table.acceptBan({ fingerprint: request, version: this.#bannedVersion })) {
       this.#bans.delete(request);
       this.#tables.forEach((other) => other.liftBan(request));
     }
     if (table.isBanned(request)) return 'banned';
     if (!crashes) {
-      table.recordAnswer(request);
+      table.recordAnswer(request, by);
       return 'answered';
     }
     this.#crashes += 1;
-    this.crash(instance, `e${this.#crashes}`);
+    this.crash(instance, `e${this.#crashes}`, by);
     return 'crashed';
   }
 
   /** Lets an endpoint crash while it runs the request for an instance. */
-  crash(instance: number, incarnation: string): void {
+  crash(instance: number, name: string, by = version): void {
     const table = this.#getTable(instance);
-    const finding = table.recordCrash(request, incarnation as Incarnation);
-    if (finding === 'banned') this.#ban();
+    const incarnation = name as Incarnation;
+    const finding = table.recordCrash(request, { incarnation, version: by });
+    if (finding === 'banned') this.#ban(by);
     if (finding !== 'suspect') return;
     const earlier = this.#reports.get(request);
     if (earlier === undefined) this.#reports.set(request, incarnation);
-    else if (earlier !== incarnation && table.acceptBan(request)) this.#ban();
+    else if (earlier !== incarnation) {
+      if (table.acceptBan({ fingerprint: request, version: by })) this.#ban(by);
+    }
   }
 
-  #ban(): void {
-    if (!this.#bans.has(request)) this.#bans.set(request, this.clock.now() + banDelayMs);
+  #ban(by: EndpointVersion): void {
+    if (this.#bans.has(request)) return;
+    this.#bannedVersion = by;
+    this.#bans.set(request, this.clock.now() + banDelayMs);
   }
 
   #getTable(instance: number): CrashTable {
@@ -92,6 +102,36 @@
   });
 });
 
+describe('a request that crashes the endpoints of a release', () => {
+  /** Guards against answers of the version before, which excuse crashes and lift bans (review/12). */
+  it.each([1, 3, 12])('reaches few of them at %i instances', (instances) => {
+    const arrivals = fc.array(
+      fc.record({
+        instance: fc.nat(instances - 1),
+        pauseMs: fc.integer({ min: 0, max: 2000 }),
+        // While the release goes on, both versions run.
+        isNew: fc.boolean(),
+      }),
+      { minLength: 40, maxLength: 120 },
+    );
+    fc.assert(
+      fc.property(arrivals, (sent) => {
+        const fleet = new FleetModel(instances);
+        for (let index = 0; index < 20 * instances; index++) fleet.run(index, false);
+        const crashedAt: number[] = [];
+        sent.forEach(({ instance, pauseMs, isNew }) => {
+          fleet.clock.advance(pauseMs);
+          const result = fleet.run(instance, isNew, isNew ? nextVersion : version);
+          if (result === 'crashed') crashedAt.push(fleet.clock.now());
+        });
+        const freeUntil = (crashedAt[2] ?? Infinity) + contactMs;
+        expect(crashedAt.filter((at) => at > freeUntil).length).toBeLessThanOrEqual(maxLateRuns);
+      }),
+      { seed: 12, numRuns: 100 },
+    );
+  });
+});
+
 describe('a request that crashes nothing', () => {
   /**
    * Guards against a ban of a much used request whose endpoints crash for another reason (review/4):
@@ -156,21 +196,32 @@
       answers: 1,
       isBanned: true,
     },
+    {
+      name: 'answers of another version',
+      incarnations: ['e1', 'e2'],
+      answers: 40,
+      answeredBy: 'v0',
+      isBanned: true,
+    },
     {
       name: 'crashes ten minutes apart',
       incarnations: ['e1', 'e2'],
       pauseMs: 600_000,
       isBanned: false,
     },
-  ])('bans after $name: $isBanned', ({ incarnations, answers = 0, pauseMs = 1000, isBanned }) => {
-    const clock = new ManualClock();
-    const table = new CrashTable(clock);
-    for (let index = 0; index < answers; index++) table.recordAnswer(request);
-    incarnations.forEach((incarnation) => {
-      clock.advance(pauseMs);
-      table.recordCrash(request, incarnation as Incarnation);
-    });
-    expect(table.isBanned(request)).toBe(isBanned);
-    expect(table.isBanned('another')).toBe(false);
-  });
+  ])(
+    'bans after $name: $isBanned',
+    ({ incarnations, answers = 0, pauseMs = 1000, isBanned, ...row }) => {
+      const clock = new ManualClock();
+      const table = new CrashTable(clock);
+      const answeredBy = (row.answeredBy ?? version) as EndpointVersion;
+      for (let index = 0; index < answers; index++) table.recordAnswer(request, answeredBy);
+      incarnations.forEach((incarnation) => {
+        clock.advance(pauseMs);
+        table.recordCrash(request, { incarnation: incarnation as Incarnation, version });
+      });
+      expect(table.isBanned(request)).toBe(isBanned);
+      expect(table.isBanned('another')).toBe(false);
+    },
+  );
 });
--- a/packages/values/src/ids.ts
+++ b/packages/values/src/ids.ts
@@ -8,6 +8,8 @@
 export type InstanceId = Branded<'instance'>;
 /** One run of a process, of an instance or an endpoint. */
 export type Incarnation = Branded<'incarnation'>;
+/** Version of the software of an endpoint. */
+export type EndpointVersion = Branded<'endpoint-version'>;
 export type TenantId = Branded<'tenant'>;
 /** Name of a workspace: the customers whose callers share keys, a quota and a priority. */
 export type WorkspaceId = Branded<'workspace'>;
