Lift bans only for the version that has answered the request

A lift for one version would have kept the ban for the next one from the other instances for ten minutes, and ended it where it was in force.

Change: the name of a ban in the store and in BanList has the version, and CrashTable lifts a ban only for the version that it names.

Evidence: "shares the ban for a version after that for another one was lifted" and "is banned after a lift for another version" in the suites of fleet and suspects; packages/suspects, packages/fleet and platform/test/crashes.test.ts pass.

--- a/packages/fleet/src/bans.ts
+++ b/packages/fleet/src/bans.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import type { KeyValueStore, StoreItem } from '@dotterelpass/store';
 import type { Logger } from '@dotterelpass/telemetry';
 import type { RequestBan } from '@dotterelpass/suspects';
@@ -5,6 +6,10 @@
 import { leaseMs } from './lease.js';
 import type { InstanceLease } from './lease.js';
 
+/** Between the fingerprint and the version in the name of a ban, and digits of the latter. */
+const versionSeparator = '.';
+const versionDigits = 16;
+
 /** Minimum time between two writes of a key: a listing may predate the last write. */
 const rewriteIntervalMs = 6000;
 
@@ -14,7 +19,7 @@
   readonly isLifted: boolean;
 }
 
-/** A ban. A lifted one stays lifted while its key exists: the request cannot crash all endpoints. */
+/** A ban. A lifted one stays lifted while its key exists: the version does not always crash. */
 interface KnownBan {
   readonly isLifted: boolean;
   readonly knownSince: number;
@@ -41,7 +46,7 @@
    */
   onBan(ban: RequestBan): boolean;
   /** Called when another instance has lifted a ban. */
-  onLift(fingerprint: string): void;
+  onLift(ban: RequestBan): void;
   /** Tells all other instances at once, since listings of the store may be seconds old. */
   announceBan(news: BanNews): void;
 }
@@ -50,10 +55,10 @@
 export class BanList {
   readonly #options: BanListOptions;
 
-  /** Bans by fingerprint, of this instance and of others. */
+  /** Bans by name, of this instance and of others. */
   readonly #bans = new Map<string, KnownBan>();
 
-  /** Bans that this instance has decided, which it writes again when the store loses them. */
+  /** Bans by name that this instance has decided, which it writes again when the store loses them. */
   readonly #ownBans = new Map<string, OwnBan>();
 
   constructor(options: BanListOptions) {
@@ -67,9 +72,10 @@
    */
   async write(ban: RequestBan): Promise<void> {
     const { clock, announceBan } = this.#options;
-    if (this.#bans.has(ban.fingerprint)) return;
+    const name = buildName(ban);
+    if (this.#bans.has(name)) return;
     const now = clock.now();
-    this.#bans.set(ban.fingerprint, { isLifted: false, knownSince: now });
+    this.#bans.set(name, { isLifted: false, knownSince: now });
     announceBan({ ...ban, isLifted: false });
     await this.#putOwn(ban, now);
   }
@@ -84,8 +90,9 @@
   merge(items: readonly StoreItem[]): void {
     const listed = new Set<string>();
     items.forEach(({ key, value }) => {
-      const fingerprint = key.slice(this.#options.prefix.length);
-      listed.add(fingerprint);
+      const name = key.slice(this.#options.prefix.length);
+      listed.add(name);
+      const [fingerprint] = name.split(versionSeparator);
       const news = parseNews({ ...readFields(value), fingerprint });
       if (news) this.#mergeBan(news);
     });
@@ -99,49 +106,49 @@
    */
   async writeMissing(isListed: (key: string) => boolean): Promise<void> {
     const { clock, prefix } = this.#options;
-    for (const [fingerprint, { ban, bannedAt, writtenAt }] of this.#ownBans) {
+    for (const [name, { ban, bannedAt, writtenAt }] of this.#ownBans) {
       const now = clock.now();
-      if (now - bannedAt > leaseMs) this.#ownBans.delete(fingerprint);
-      else if (!isListed(prefix + fingerprint) && now - writtenAt > rewriteIntervalMs) {
+      if (now - bannedAt > leaseMs) this.#ownBans.delete(name);
+      else if (!isListed(prefix + name) && now - writtenAt > rewriteIntervalMs) {
         await this.#putOwn(ban, bannedAt);
       }
     }
   }
 
   #mergeBan({ isLifted, ...ban }: BanNews): void {
-    const { fingerprint } = ban;
+    const name = buildName(ban);
     const { clock, onBan, onLift } = this.#options;
-    const known = this.#bans.get(fingerprint);
+    const known = this.#bans.get(name);
     if (known && (known.isLifted || !isLifted)) return;
-    this.#bans.set(fingerprint, { isLifted, knownSince: clock.now() });
+    this.#bans.set(name, { isLifted, knownSince: clock.now() });
     if (isLifted) {
-      this.#ownBans.delete(fingerprint);
-      onLift(fingerprint);
+      this.#ownBans.delete(name);
+      onLift(ban);
     } else if (!onBan(ban)) void this.#lift(ban);
   }
 
   async #lift(ban: RequestBan): Promise<void> {
     const { clock, announceBan } = this.#options;
-    const { fingerprint } = ban;
+    const name = buildName(ban);
     const news: BanNews = { ...ban, isLifted: true };
-    this.#bans.set(fingerprint, { isLifted: true, knownSince: clock.now() });
+    this.#bans.set(name, { isLifted: true, knownSince: clock.now() });
     announceBan(news);
     const isWritten = await this.#put(news);
     // The next listing has the ban again, and leads to another attempt.
-    if (!isWritten) this.#bans.delete(fingerprint);
+    if (!isWritten) this.#bans.delete(name);
   }
 
   /** Forgets bans whose keys have expired, so that they can be written again. */
   #dropExpired(listed: ReadonlySet<string>): void {
     const now = this.#options.clock.now();
-    this.#bans.forEach(({ knownSince }, fingerprint) => {
-      if (now - knownSince > leaseMs && !listed.has(fingerprint)) this.#bans.delete(fingerprint);
+    this.#bans.forEach(({ knownSince }, name) => {
+      if (now - knownSince > leaseMs && !listed.has(name)) this.#bans.delete(name);
     });
   }
 
   async #putOwn(ban: RequestBan, bannedAt: number): Promise<void> {
     const writtenAt = this.#options.clock.now();
-    this.#ownBans.set(ban.fingerprint, { ban, bannedAt, writtenAt });
+    this.#ownBans.set(buildName(ban), { ban, bannedAt, writtenAt });
     // A ban that another instance has lifted meanwhile stays lifted.
     await this.#put({ ...ban, isLifted: false }, 0);
   }
@@ -150,7 +157,7 @@
   async #put({ fingerprint, ...fields }: BanNews, expected?: number): Promise<boolean> {
     const { store, lease, prefix, log } = this.#options;
     const id = await lease.getOrCreate();
-    const key = prefix + fingerprint;
+    const key = prefix + buildName({ fingerprint, ...fields });
     const condition = expected === undefined ? {} : { expected };
     const value = Buffer.from(JSON.stringify(fields));
     const written = await store.put({ key, value, lease: id, ...condition });
@@ -161,6 +168,13 @@
   }
 }
 
+/** @returns The name of a ban in the store, in which the version takes few bytes. */
+function buildName({ fingerprint, version }: RequestBan): string {
+  if (version === undefined) return fingerprint;
+  const digest = createHash('sha256').update(version).digest('hex').slice(0, versionDigits);
+  return fingerprint + versionSeparator + digest;
+}
+
 /** @returns The fields of the value of a key; none when it cannot be read. */
 function readFields(value: Buffer): Record<string, unknown> {
   try {
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -72,7 +72,7 @@
    */
   onBan(ban: RequestBan): boolean;
   /** Called when another instance has lifted a ban. */
-  onLift(fingerprint: string): void;
+  onLift(ban: RequestBan): void;
   /** Called when endpoints have crashed on this instance and another one with the same request. */
   onSecondCrash(ban: RequestBan): void;
   /** Tells all other instances of a ban at once. */
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -135,7 +135,7 @@
       events.bans.push(fingerprint);
       return events.acceptsBans;
     },
-    onLift: (fingerprint) => events.lifts.push(fingerprint),
+    onLift: ({ fingerprint }) => events.lifts.push(fingerprint),
     onSecondCrash: ({ fingerprint }) => events.secondCrashes.push(fingerprint),
     announceBan: (news) => events.news.push(news),
     onPeers: (_peerKey, peers) => {
@@ -329,6 +329,20 @@
     expect(second.news).toEqual(row.acceptsBans ? [] : [{ ...told, isLifted: true }]);
   });
 
+  /** Guards against a lift for one version of the endpoints that ends the ban for another one. */
+  it('shares the ban for a version after that for another one was lifted', async () => {
+    const store = new MemoryStore();
+    const events = new FleetEvents();
+    const fleet = startFleet(store, 'a', 'a:1', systemClock, events);
+    fleet.receiveBan({ ...ban, version: 'v1', isLifted: true });
+    await fleet.writeBan({ ...ban, version: 'v2' as EndpointVersion });
+    expect(events.news).toEqual([{ ...ban, version: 'v2', isLifted: false }]);
+    const values = [...store.items]
+      .filter(([key]) => key.startsWith('dotterelpass/bans/f1.'))
+      .map(([, { value }]) => JSON.parse(value.toString()) as unknown);
+    expect(values).toEqual([{ version: 'v2', isLifted: false }]);
+  });
+
   it.each([
     { name: 'no fingerprint', message: {} },
     { name: 'another type', message: { fingerprint: 7 } },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -379,8 +379,8 @@
   }
 
   /** See {@link CrashTable.liftBan}. */
-  liftBan(fingerprint: string): void {
-    if (this.#crashes.liftBan(fingerprint)) this.#options.log.warn('ban-lifted', { fingerprint });
+  liftBan(ban: RequestBan): void {
+    if (this.#crashes.liftBan(ban)) this.#options.log.warn('ban-lifted', { ...ban });
   }
 
   /**
--- a/packages/gateway/src/instance.ts
+++ b/packages/gateway/src/instance.ts
@@ -141,7 +141,7 @@
       },
       onChange: notifyChange,
       onBan: (ban) => gateway.acceptBan(ban),
-      onLift: (fingerprint) => gateway.liftBan(fingerprint),
+      onLift: (ban) => gateway.liftBan(ban),
       onSecondCrash: (ban) => {
         if (gateway.acceptBan(ban)) void this.#fleet.writeBan(ban);
       },
--- a/packages/suspects/src/evidence.ts
+++ b/packages/suspects/src/evidence.ts
@@ -55,6 +55,9 @@
 export class CrashTable {
   readonly #bans: SuspectTable;
 
+  /** Versions that the bans name, by fingerprint. */
+  readonly #bannedBy: RecentMap<EndpointVersion | undefined>;
+
   /** Number of answers that outweigh no crash yet, by fingerprint and version. */
   readonly #answers: RecentMap<number>;
 
@@ -63,6 +66,7 @@
 
   constructor(clock: Clock) {
     this.#bans = new SuspectTable(clock);
+    this.#bannedBy = new RecentMap(clock);
     this.#answers = new RecentMap(clock);
     this.#crashes = new RecentMap(clock);
   }
@@ -105,7 +109,7 @@
     const crashed = new Set(this.#crashes.get(fingerprint)).add(incarnation);
     this.#crashes.set(fingerprint, crashed);
     if (crashed.size < crashesToBan) return 'suspect';
-    this.#ban(fingerprint);
+    this.#ban({ fingerprint, version });
     return 'banned';
   }
 
@@ -115,23 +119,27 @@
    *
    * @returns Whether the request is banned.
    */
-  acceptBan({ fingerprint, version }: RequestBan): boolean {
-    const isCleared = (this.#answers.get(buildKey(fingerprint, version)) ?? 0) > 0;
-    if (!isCleared) this.#ban(fingerprint);
+  acceptBan(ban: RequestBan): boolean {
+    const key = buildKey(ban.fingerprint, ban.version);
+    const isCleared = (this.#answers.get(key) ?? 0) > 0;
+    if (!isCleared) this.#ban(ban);
     return !isCleared;
   }
 
   /**
-   * Lifts a ban, because the request has been answered on another instance.
+   * Lifts a ban, because the version that it names has answered the request on another instance. A
+   * ban for the crashes of another version stays in force.
    *
    * @returns Whether the request was banned.
    */
-  liftBan(fingerprint: string): boolean {
+  liftBan({ fingerprint, version }: RequestBan): boolean {
+    if (this.isBanned(fingerprint) && this.#bannedBy.get(fingerprint) !== version) return false;
     this.#crashes.delete(fingerprint);
     return this.#bans.lift(fingerprint);
   }
 
-  #ban(fingerprint: string): void {
+  #ban({ fingerprint, version }: RequestBan): void {
+    this.#bannedBy.set(fingerprint, version);
     if (!this.isBanned(fingerprint)) this.#bans.ban(fingerprint);
   }
 }
--- a/packages/suspects/test/evidence.test.ts
+++ b/packages/suspects/test/evidence.test.ts
@@ -42,7 +42,9 @@
     const isKnown = bannedAt !== undefined && this.clock.now() >= bannedAt;
     if (isKnown && !table.acceptBan({ fingerprint: request, version: this.#bannedVersion })) {
       this.#bans.delete(request);
-      this.#tables.forEach((other) => other.liftBan(request));
+      this.#tables.forEach((other) =>
+        other.liftBan({ fingerprint: request, version: this.#bannedVersion }),
+      );
     }
     if (table.isBanned(request)) return 'banned';
     if (!crashes) {
@@ -224,4 +226,14 @@
       expect(table.isBanned('another')).toBe(false);
     },
   );
+
+  it.each([
+    { name: 'the version of the ban', lifted: version, isBanned: false },
+    { name: 'another version', lifted: nextVersion, isBanned: true },
+  ])('is banned after a lift for $name: $isBanned', ({ lifted, isBanned }) => {
+    const table = new CrashTable(new ManualClock());
+    table.acceptBan({ fingerprint: request, version });
+    expect(table.liftBan({ fingerprint: request, version: lifted })).toBe(!isBanned);
+    expect(table.isBanned(request)).toBe(isBanned);
+  });
 });
